--- /dev/null
+++ b/gannetfront/balance.py
@@ -0,0 +1,462 @@
+"""Every decision of gannetfront: where an invocation goes, when it is given up, how a build is judged.
+
+One Balancer serves one proxy. The carrier calls `round(now, events, out)` once a round: each event is the name
+of a method below and its fields; decisions go straight into `out`. Types and the writer: interface.py.
+Order below: what is told, routing, the rule ledgers (`send` is the only way out), outcomes, health, votes.
+"""
+from collections import deque
+from math import exp, log, sqrt
+from statistics import NormalDist, median
+from zlib import crc32
+
+from .interface import (
+    BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, GONE, IDEMPOTENT, MOOT, ON, READY, RELEASED, RESET,
+    SIDE_EFFECTING, SUCCEEDED, TIMEOUT, TRIAL, UNCONNECTED)
+
+NEVER_RAN = (FULL, UNCONNECTED, MOOT)
+GROUPS = 10                 # the paper's R
+LEAST = 20                  # outcomes per build before any vote
+BACK_MARGIN, ON_MARGIN = 0.03, 0.05
+SETTLE = 3000.0             # after the newest start, before 'on'
+MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
+SWEEP = 100.0
+
+
+class Server:
+    def __init__(self, listed):
+        _, self.zone, self.build, self.kind, self.cell, self.state, self.heft, self.launched = listed
+        self.flying = {}            # (inv, seq) -> time sent
+        self.recent = deque(maxlen=16)      # (time, time taken, went wrong)
+        self.sent = deque()         # times of dispatches while it is cold
+        self.load, self.pace, self.fail, self.suspect = {}, None, 0.0, False
+
+
+class Invocation:
+    def __init__(self, op, tenant, key, taken, deadline):
+        self.op, self.tenant, self.key, self.taken, self.deadline = op, tenant, key, taken, deadline
+        self.tries = []             # [server id, zone, cell, time sent, status or None, build]
+
+
+class Balancer:
+    def __init__(self, seed, site):
+        self.chance_state = seed & (2**64 - 1)
+        self.me, self.balancers, self.zone = site.me, site.balancers, site.zone
+        self.ops, self.tenants, self.over_value = site.operations, site.tenants, site.over_share_value
+        self.rollout = r = site.rollout
+        self.may_probe, self.may_cancel, self.may_duplicate = site.may_probe, site.may_cancel, site.may_duplicate
+        self.may_signal, self.dispatch_cap, self.subscribe = site.may_signal, site.dispatch_cap, site.must_subscribe
+        self.retry_advice, self.cross_price = site.retry_advice, site.cross_zone_price
+        self.cold_share, self.warm_within = site.cold_share, site.warm_within
+        self.fall_multiple, self.overload_for, self.tick = site.fall_multiple, site.overload_for, site.tick
+        alpha = 0.05 / (site.balancers * len(site.operations))
+        z2 = NormalDist().inv_cdf(1 - alpha / 2) ** 2
+        # The paper's interval with tau = z2 * V: the half width is this factor times the square root of V.
+        self.width = sqrt((1 + z2) / z2 * (-2 * log(alpha) + log(1 + z2)))
+        self.slo_mean = sum(o.slo_time for o in self.ops) / len(self.ops)
+        self.servers, self.invs = {}, {}
+        self.ver, self.stage, self.cap, self.phase, self.told = None, 0, 0.0, None, False
+        self.taken = deque()        # (time, operation) within the exposure window
+        self.at_trial = {}          # build -> deque of (time, operation) dispatched there
+        self.arrivals, self.outcomes = deque(maxlen=400), deque(maxlen=60)
+        self.seen = {}              # (build, operation) -> deque of (time, group, went wrong)
+        self.answered = {}          # key -> build that answered it
+        self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
+        self.typical, self.shed, self.bar, self.sweep_at = None, 0.0, 0.0, 0.0
+        self.pools = ([], [])
+
+    def round(self, now, events, out):
+        self.now, self.out = now, out
+        for name, *fields in events:
+            getattr(self, name)(*fields)
+        if now >= self.sweep_at:
+            self.sweep()
+            self.sweep_at = now + SWEEP
+            out.timer(self.sweep_at, "sweep")
+
+    def chance(self):
+        self.chance_state = (self.chance_state * 6364136223846793005 + 1442695040888963407) % 2**64
+        return (self.chance_state >> 33) / 2**31
+
+    # ---- what is told ----
+
+    def listed(self, kind, entries):
+        if kind == "failed":
+            if self.subscribe:
+                self.out.subscribe(True)
+            return
+        named = set()
+        for entry in entries:
+            named.add(entry[0])
+            old, new = self.servers.get(entry[0]), Server(entry)
+            if old:
+                new.flying = old.flying
+                if (old.build, old.launched) == (new.build, new.launched):
+                    new.recent, new.sent, new.load = old.recent, old.sent, old.load
+                    new.pace, new.fail, new.suspect = old.pace, old.fail, old.suspect
+            self.servers[entry[0]] = new
+        if kind != "changes":
+            for addr, server in self.servers.items():
+                if addr not in named:
+                    server.state = GONE     # a full list that leaves a server out has told of its end
+            if kind == "kept" and self.subscribe:
+                self.out.subscribe(True)
+        self.sort_pools()
+
+    def stage_told(self, answer, stage, since, cap, status, ver, phase):
+        if answer and status != SUCCEEDED:
+            # moot: the news that explains it is on its way; full, error, timeout: ask again soon, not in step
+            self.voted, self.vote_due = None, self.now + 150 + 300 * self.chance()
+            return
+        if answer and self.voted and self.voted[1] == ver:
+            self.vote_due = max(self.vote_due, self.vote_at + 0.6 * self.rollout.vote_life)
+        if (ver, stage, phase) != (self.ver, self.stage, self.phase):
+            self.vote_due = self.now
+        if ver != self.ver:
+            self.seen = {k: v for k, v in self.seen.items() if k[0] >= ver - 2}
+        self.ver, self.stage, self.cap, self.phase, self.told = ver, stage, cap, phase, True
+        self.sort_pools()
+
+    def tally(self, attempts, since, not_ok, time_taken, op, ver):
+        pass
+
+    def contested(self, since, op, addr):
+        """A wrong answer looked like any other: it is a bad outcome of the build that gave it."""
+        server = self.servers.get(addr)
+        if server:
+            self.note(server, op, f"{addr}{self.now}", True)
+
+    def peer(self, sender, payload):
+        pass
+
+    def begun(self, inv, seq, addr, time_taken):
+        pass
+
+    def timer(self, key):
+        pass
+
+    # ---- routing: proposals only ----
+
+    def on_trial(self, build):
+        if not self.told:
+            return build > min(s.build for s in self.servers.values())
+        return build > self.ver or (build == self.ver and self.phase != RELEASED)
+
+    def ramp(self, server):
+        age = self.now - server.launched if server.launched else self.warm_within
+        return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age) / max(1.0, self.warm_within))
+
+    def sort_pools(self):
+        ready = [(a, s) for a, s in self.servers.items() if s.state == READY]
+        self.pools = ([p for p in ready if not self.on_trial(p[1].build)],
+                      [p for p in ready if self.on_trial(p[1].build)])
+
+    def loss(self, server, op):
+        """Expected share of the worth lost at this server: failing, late by an exponential tail, crossing."""
+        pace = server.pace or self.typical or 0.15 * op.slo_time
+        queue = server.load.get("queue", 0.0)
+        pace += (self.typical or pace) * (0.4 * len(server.flying) + 0.33 * queue)
+        late = exp(-op.slo_time / pace)
+        return (server.fail + (1 - server.fail) * late + 0.05 * pace / op.slo_time
+                + (self.cross_price if server.zone != self.zone else 0.0))
+
+    def choose(self, pool, op, inv):
+        """Two random choices inside the build, weighted by size; two more from home where crossing is priced."""
+        pool = [p for p in pool if all(p[0] != t[0] for t in inv.tries) and self.allowed(inv, p[0], p[1])]
+        if not pool:
+            return None
+        picks = [self.draw(pool), self.draw(pool)]
+        home = [p for p in pool if p[1].zone == self.zone] if self.cross_price else []
+        if home and len(home) < len(pool):
+            picks += [self.draw(home), self.draw(home)]
+        return min(picks, key=lambda p: self.loss(p[1], op))
+
+    def draw(self, pool):
+        weights = [p[1].heft * self.ramp(p[1]) for p in pool]
+        point = self.chance() * sum(weights)
+        for pick, weight in zip(pool, weights):
+            point -= weight
+            if point <= 0:
+                return pick
+        return pool[-1]
+
+    def trial_share(self):
+        size = [sum(s.heft * self.ramp(s) for _, s in pool) for pool in self.pools]
+        return size[1] / sum(size) if sum(size) else 0.0
+
+    def invocation(self, ident, key, op, tenant, left):
+        inv = self.invs[ident] = Invocation(op, tenant, key, self.now, self.now + left)
+        self.taken.append((self.now, op))
+        self.arrivals.append((self.now, op, tenant))
+        if self.shed > 0 and self.value(op, tenant) * (0.9 + 0.2 * self.chance()) < self.bar:
+            return self.give_up(ident, inv)
+        if not self.propose(ident, inv, self.chance() < self.trial_share()):
+            self.give_up(ident, inv)
+
+    def propose(self, ident, inv, trial):
+        op = self.ops[inv.op]
+        for pool in ((self.pools[1], self.pools[0]) if trial else self.pools):
+            pick = self.choose(pool, op, inv)
+            if pick:
+                return self.send(ident, inv, *pick)
+        return False
+
+    def value(self, op, tenant):
+        worth = self.ops[op].billed_value
+        if self.tenants and self.over.get(tenant):
+            worth *= self.over_value
+        return worth
+
+    over = {}
+
+    # ---- the rule ledgers ----
+
+    def allowed(self, inv, addr, server):
+        op = self.ops[inv.op]
+        if server.state != READY or len(inv.tries) >= self.dispatch_cap or inv.deadline - self.now < self.tick:
+            return False
+        may_have_run = [t for t in inv.tries if t[4] not in NEVER_RAN]
+        if may_have_run:
+            if op.effect == SIDE_EFFECTING:
+                return False
+            if not self.may_duplicate and any(t[4] is None for t in may_have_run):
+                return False
+            if op.effect == FINGERPRINTED:
+                if self.now >= min(t[3] for t in may_have_run) + op.window - 2 * self.tick:
+                    return False
+                if op.group == "zone" and any(t[1] != server.zone for t in may_have_run):
+                    return False
+                if op.group not in ("all", "zone") and any(t[2] != server.cell for t in may_have_run):
+                    return False
+        if self.on_trial(server.build):
+            if not self.exposed(server.build, inv.op):
+                return False
+        elif inv.key is not None and self.rollout.no_return and self.phase in (TRIAL, RELEASED):
+            if self.answered.get(inv.key, -1) > server.build:
+                return False
+        return self.cold_room(server)
+
+    def exposed(self, build, op):
+        """Room under the cap, counted over a slightly longer past for dispatches and a shorter one for intake."""
+        r, known = self.rollout, self.told and build == self.ver
+        stage, cap = (self.stage, self.cap) if known else (0, r.caps[0])
+        if cap <= 0 or (stage < r.guarded and self.ops[op].effect != IDEMPOTENT):
+            return False
+        if self.told and self.phase == RELEASED and build == self.ver:
+            return True
+        alike = (lambda o: o == op) if r.by_operation else (lambda o: True)
+        since, until = self.now - r.window + 2 * self.tick, self.now - r.window - 2 * self.tick
+        took = sum(1 for t, o in self.taken if t > since and alike(o))
+        made = sum(1 for t, o in self.at_trial.get(build, ()) if t > until and alike(o))
+        return made + 1 <= r.free + cap * took
+
+    def cold_room(self, server):
+        """A cold server falls to what all proxies send together: each keeps to its fair part of its ramp."""
+        if not server.launched or self.now - server.launched >= self.warm_within:
+            return True
+        while server.sent and server.sent[0] <= self.now - self.overload_for:
+            server.sent.popleft()
+        return len(server.sent) + 1 <= max(1.0, self.fair_rate * server.heft * self.ramp(server) * self.overload_for)
+
+    fair_rate = 0.0             # own invocations a millisecond for each unit of size in the fleet
+
+    def send(self, ident, inv, addr, server):
+        """The only way out: whatever proposes a dispatch, the ledgers above decide here."""
+        if not self.allowed(inv, addr, server):
+            return False
+        inv.tries.append([addr, server.zone, server.cell, self.now, None, server.build])
+        server.flying[ident, len(inv.tries) - 1] = self.now
+        if server.launched and self.now - server.launched < self.warm_within:
+            server.sent.append(self.now)
+        if self.on_trial(server.build):
+            self.at_trial.setdefault(server.build, deque()).append((self.now, inv.op))
+        self.out.dispatch(ident, addr, inv.deadline - self.now)
+        return True
+
+    def give_up(self, ident, inv):
+        """Answered at once, never held: throttled where trying again is harmless, else terminated."""
+        op, ran = self.ops[inv.op], any(t[4] not in NEVER_RAN for t in inv.tries)
+        self.invs.pop(ident, None)
+        if not ran or op.effect == IDEMPOTENT or (op.effect == FINGERPRINTED and op.group == "all"):
+            self.out.throttle(ident, self.retry_advice * (0.5 + 0.5 * self.chance()))
+        else:
+            self.out.terminate(ident)
+        self.drop_rest(ident, inv)
+
+    def drop_rest(self, ident, inv):
+        if self.may_cancel:
+            for seq, tried in enumerate(inv.tries):
+                if tried[4] is None:
+                    self.out.cancel(ident, seq)
+
+    # ---- outcomes ----
+
+    def client_gone(self, ident):
+        inv = self.invs.pop(ident, None)
+        if inv:
+            self.drop_rest(ident, inv)
+
+    def outcome(self, ident, seq, addr, status, time_taken, closed, load):
+        server, inv = self.servers.get(addr), self.invs.get(ident)
+        sent = server.flying.pop((ident, seq), None) if server else None
+        if load and server:
+            server.load = load
+        if inv is None:
+            return
+        tried, op = inv.tries[seq], self.ops[inv.op]
+        tried[4] = status
+        if server and server.build == tried[5] and sent is not None and status not in (MOOT, CANCELLED):
+            wrong = status != SUCCEEDED
+            server.recent.append((self.now, time_taken, wrong))
+            self.outcomes.append((self.now, time_taken / op.slo_time if status in (SUCCEEDED, TIMEOUT)
+                                  else 2.0 if status == FULL else 0.3))
+            late = time_taken > op.slo_time
+            if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and late):
+                young = self.now - server.launched < 5000 if server.launched else False
+                soft = status in (SUCCEEDED, TIMEOUT)
+                if not (young and soft and late):
+                    self.note(server, inv.op, f"{addr}{inv.key or ident}", wrong or late)
+        if status == SUCCEEDED and inv.key is not None and self.rollout.no_return:
+            self.answered[inv.key] = max(self.answered.get(inv.key, 0), tried[5])
+        if closed:
+            self.invs.pop(ident, None)
+            self.drop_rest(ident, inv)
+        elif any(t[4] is None for t in inv.tries):
+            return
+        elif not self.propose(ident, inv, False):
+            self.give_up(ident, inv)
+
+    def note(self, server, op, unit, wrong):
+        kept = self.seen.setdefault((server.build, op), deque(maxlen=500))
+        # No key at these sites: server and invocation together, or a one-server trial is a single group.
+        kept.append((self.now, crc32(unit.encode()) % GROUPS, wrong))
+
+    # ---- health ----
+
+    def sweep(self):
+        now, window = self.now, self.rollout.window + 4 * self.tick
+        while self.taken and self.taken[0][0] < now - window:
+            self.taken.popleft()
+        for made in self.at_trial.values():
+            while made and made[0][0] < now - window:
+                made.popleft()
+        while self.arrivals and self.arrivals[0][0] < now - 4000:
+            self.arrivals.popleft()
+        span = min(4000.0, now - self.arrivals[0][0]) if self.arrivals else 0.0
+        total = sum(s.heft for pool in self.pools for _, s in pool)
+        self.fair_rate = len(self.arrivals) / max(span, 1000.0) / total if total else 0.0
+        for ident, inv in list(self.invs.items()):
+            if now >= inv.deadline:
+                self.invs.pop(ident)
+                self.out.terminate(ident)
+        ready = [s for pool in self.pools for _, s in pool]
+        means = []
+        for s in ready:
+            fresh = [took for t, took, _ in s.recent if t > now - MEMORY]
+            if len(fresh) >= 3:
+                means.append(sum(fresh) / len(fresh))
+        self.typical = median(means) if means else self.typical
+        guess = self.typical or 0.15 * self.slo_mean
+        for s in ready:
+            fresh = [x for x in s.recent if x[0] > now - MEMORY]
+            waits = [now - t for t in s.flying.values() if now - t > 2 * guess]
+            s.pace = (2 * guess + sum(x[1] for x in fresh) + sum(waits)) / (2 + len(fresh) + len(waits))
+            s.fail = sum(x[2] for x in fresh) / (2 + len(fresh))
+            s.suspect = s.pace > 2.5 * guess or s.fail > 0.4
+        self.rescue(guess)
+        self.pressure()
+        self.judge()
+
+    def rescue(self, guess):
+        """An attempt stuck at a sick or silent server is copied or, where two may not run, moved."""
+        for ident, inv in list(self.invs.items()):
+            op = self.ops[inv.op]
+            if op.effect == SIDE_EFFECTING or len(inv.tries) != 1 or inv.tries[0][4] is not None:
+                continue
+            addr, _, _, sent, _, _ = inv.tries[0]
+            age, suspect = self.now - sent, self.servers[addr].suspect
+            if self.shed > 0 or age < 0.3 * op.slo_time or age > op.slo_time:
+                continue
+            if self.may_duplicate and (suspect or age > 0.5 * op.slo_time):
+                self.propose(ident, inv, False)
+            elif not self.may_duplicate and suspect and self.may_cancel:
+                self.out.cancel(ident, 0)
+
+    def pressure(self):
+        """Queues everywhere make every answer late: shed the least worth until answers come in time again."""
+        fresh = sorted(x for t, x in self.outcomes if t > self.now - 1500)
+        if len(fresh) >= 6:
+            middle = fresh[len(fresh) // 2]
+            self.shed = min(0.9, max(0.0, self.shed + (0.04 if middle > 0.6 else -0.03)))
+        else:
+            self.shed = max(0.0, self.shed - 0.03)
+        count = [0] * max(1, len(self.tenants))
+        for _, _, tenant in self.arrivals:
+            if tenant < len(count):
+                count[tenant] += 1
+        total = max(1, sum(count))
+        self.over = {t: n / total > 1.3 * self.tenants[t][0] for t, n in enumerate(count) if self.tenants}
+        if self.shed > 0 and self.arrivals:
+            worths = sorted(self.value(op, tenant) * (0.9 + 0.2 * i % 1)
+                            for i, (_, op, tenant) in enumerate(self.arrivals))
+            self.bar = worths[min(len(worths) - 1, int(self.shed * len(worths)))]
+
+    def probed(self, addr, status, time_taken, load):
+        if addr in self.servers and load:
+            self.servers[addr].load = load
+
+    # ---- votes ----
+
+    def spread(self, kept):
+        """Count, mean and delete-a-group jackknife variance of one build's outcomes."""
+        n, x = len(kept), sum(k[2] for k in kept)
+        size, bad = [0] * GROUPS, [0] * GROUPS
+        for _, group, wrong in kept:
+            size[group] += 1
+            bad[group] += wrong
+        mean = x / n
+        jack = (GROUPS - 1) / GROUPS * sum(
+            ((x - b) / (n - m) - mean) ** 2 for m, b in zip(size, bad) if n > m)
+        # No failures, or few filled groups, make the jackknife vanish: never less than a binomial's variance
+        # with one failure and one success added.
+        guess = (x + 1) / (n + 2)
+        return n, mean, max(jack, guess * (1 - guess) / n)
+
+    def evidence(self):
+        """For each operation: outcomes at the new build, observed difference, lower end of the interval."""
+        rows = []
+        for op in range(len(self.ops)):
+            new = list(self.seen.get((self.ver, op), ()))
+            old = [k for b, o in self.seen if o == op and b < self.ver for k in self.seen[b, o]]
+            if new:
+                old = [k for k in old if k[0] >= new[0][0] - 1000] or old
+            if not new or not old:
+                rows.append((len(new), 0.0, -1.0))
+                continue
+            (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
+            rows.append((n, mean - base if m >= LEAST else 0.0,
+                         mean - base - self.width * sqrt(v + w) if min(n, m) >= LEAST else -1.0))
+        return rows
+
+    def judge(self):
+        r = self.rollout
+        if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
+            return
+        rows = self.evidence()
+        verdict = None
+        if any(low > BACK_MARGIN for _, _, low in rows):
+            verdict = BACK
+        elif self.phase == TRIAL and r.on_votes and not r.timed:
+            starts = [s.launched for _, s in self.pools[1] if s.build == self.ver]
+            settled = starts and self.now >= max(starts) + SETTLE
+            total = sum(n for n, _, _ in rows)
+            observed = sum(n * d for n, d, _ in rows) / total if total else 0.0
+            quiet = r.on_votes > 1 and starts and self.now >= max(starts) + 3 * SETTLE
+            if settled and (total >= LEAST or quiet) and observed < ON_MARGIN:
+                verdict = ON
+        if verdict and (self.phase, verdict) != (RELEASED, ON):
+            self.out.vote(self.stage, self.ver, verdict)
+            self.voted, self.vote_at = (verdict, self.ver, self.stage), self.now
+            self.vote_due = self.now + r.answer_wait + 50
+            if verdict == BACK:
+                self.out.log(f"back on build {self.ver} stage {self.stage}: " + " ".join(
+                    f"{n}/{d:.2f}/{low:.2f}" for n, d, low in rows))
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,5 @@
+from gannetfront import balance
+
+
+def test_imports():
+    assert balance.GROUPS == 10
