--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -4,6 +4,7 @@
 of a method below and its fields; decisions go straight into `out`. Types and the writer: interface.py.
 Order below: what is told, routing, the rule ledgers (`send` is the only way out), outcomes, health, votes.
 """
+from bisect import bisect_left
 from collections import deque
 from math import exp, log, sqrt
 from statistics import NormalDist, median
@@ -57,11 +58,11 @@
         self.ver, self.stage, self.cap, self.phase, self.told = None, 0, 0.0, None, False
         self.taken = deque()        # (time, operation) within the exposure window
         self.at_trial = {}          # build -> deque of (time, operation) dispatched there
-        self.arrivals, self.outcomes = deque(maxlen=400), deque(maxlen=60)
+        self.arrivals, self.answers = deque(maxlen=1000), deque(maxlen=1000)
         self.seen = {}              # (build, operation) -> deque of (time, group, went wrong)
         self.answered = {}          # key -> build that answered it
         self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
-        self.typical, self.shed, self.bar, self.sweep_at = None, 0.0, 0.0, 0.0
+        self.typical, self.limit, self.worths, self.sweep_at = None, 1e9, [], 0.0
         self.pools = ([], [])
 
     def round(self, now, events, out):
@@ -187,9 +188,7 @@
         inv = self.invs[ident] = Invocation(op, tenant, key, self.now, self.now + left)
         self.taken.append((self.now, op))
         self.arrivals.append((self.now, op, tenant))
-        if self.shed > 0 and self.value(op, tenant) * (0.9 + 0.2 * self.chance()) < self.bar:
-            return self.give_up(ident, inv)
-        if not self.propose(ident, inv, self.chance() < self.trial_share()):
+        if self.crowded(inv) or not self.propose(ident, inv, self.chance() < self.trial_share()):
             self.give_up(ident, inv)
 
     def propose(self, ident, inv, trial):
@@ -307,8 +306,8 @@
         if server and server.build == tried[5] and sent is not None and status not in (MOOT, CANCELLED):
             wrong = status != SUCCEEDED
             server.recent.append((self.now, time_taken, wrong))
-            self.outcomes.append((self.now, time_taken / op.slo_time if status in (SUCCEEDED, TIMEOUT)
-                                  else 2.0 if status == FULL else 0.3))
+            if status in (SUCCEEDED, ERROR):
+                self.answers.append(self.now)
             late = time_taken > op.slo_time
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and late):
                 young = self.now - server.launched < 5000 if server.launched else False
@@ -374,7 +373,7 @@
                 continue
             addr, _, _, sent, _, _ = inv.tries[0]
             age, suspect = self.now - sent, self.servers[addr].suspect
-            if self.shed > 0 or age < 0.3 * op.slo_time or age > op.slo_time:
+            if len(self.invs) > 0.6 * self.limit or age < 0.3 * op.slo_time or age > op.slo_time:
                 continue
             if self.may_duplicate and (suspect or age > 0.5 * op.slo_time):
                 self.propose(ident, inv, False)
@@ -382,23 +381,23 @@
                 self.out.cancel(ident, 0)
 
     def pressure(self):
-        """Queues everywhere make every answer late: shed the least worth until answers come in time again."""
-        fresh = sorted(x for t, x in self.outcomes if t > self.now - 1500)
-        if len(fresh) >= 6:
-            middle = fresh[len(fresh) // 2]
-            self.shed = min(0.9, max(0.0, self.shed + (0.04 if middle > 0.6 else -0.03)))
-        else:
-            self.shed = max(0.0, self.shed - 0.03)
+        """Queues everywhere make every answer late. Against bursts, overload and slowdowns of all servers alike:
+        open invocations are bounded by how quickly answers come, so that a wait stays well inside the SLO time.
+        It hurts where answers come late for reasons that load does not move."""
+        rates = [sum(1 for t in self.answers if t > self.now - span) / span for span in (1000.0, 4000.0)]
+        self.limit = max(4.0, max(rates) * 0.4 * self.slo_mean)
         count = [0] * max(1, len(self.tenants))
         for _, _, tenant in self.arrivals:
             if tenant < len(count):
                 count[tenant] += 1
         total = max(1, sum(count))
         self.over = {t: n / total > 1.3 * self.tenants[t][0] for t, n in enumerate(count) if self.tenants}
-        if self.shed > 0 and self.arrivals:
-            worths = sorted(self.value(op, tenant) * (0.9 + 0.2 * i % 1)
-                            for i, (_, op, tenant) in enumerate(self.arrivals))
-            self.bar = worths[min(len(worths) - 1, int(self.shed * len(worths)))]
+        self.worths = sorted(self.value(op, tenant) for _, op, tenant in self.arrivals)
+
+    def crowded(self, inv):
+        """The least worth gives way first: it may fill only part of the limit."""
+        below = bisect_left(self.worths, self.value(inv.op, inv.tenant)) / max(1, len(self.worths))
+        return len(self.invs) > self.limit * (0.6 + 0.4 * below)
 
     def probed(self, addr, status, time_taken, load):
         if addr in self.servers and load:
