--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -306,8 +306,8 @@
         if server and server.build == tried[5] and sent is not None and status not in (MOOT, CANCELLED):
             wrong = status != SUCCEEDED
             server.recent.append((self.now, time_taken, wrong))
-            if status in (SUCCEEDED, ERROR):
-                self.answers.append(self.now)
+            if status in (SUCCEEDED, TIMEOUT):
+                self.answers.append((self.now, time_taken / op.slo_time))
             late = time_taken > op.slo_time
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and late):
                 young = self.now - server.launched < 5000 if server.launched else False
@@ -382,10 +382,14 @@
 
     def pressure(self):
         """Queues everywhere make every answer late. Against bursts, overload and slowdowns of all servers alike:
-        open invocations are bounded by how quickly answers come, so that a wait stays well inside the SLO time.
-        It hurts where answers come late for reasons that load does not move."""
-        rates = [sum(1 for t in self.answers if t > self.now - span) / span for span in (1000.0, 4000.0)]
-        self.limit = max(4.0, max(rates) * 0.4 * self.slo_mean)
+        a bound on open invocations shrinks while the middle answer takes over half its SLO time and grows again
+        otherwise. It hurts where answers come late for reasons that load does not move."""
+        fresh = sorted(x for t, x in self.answers if t > self.now - 1000)
+        fresh += [2.0] * sum(1 for i in self.invs.values() if self.now - i.taken > self.ops[i.op].slo_time)
+        if len(fresh) >= 5 and fresh[len(fresh) // 2] > 0.5:
+            self.limit = max(4.0, min(self.limit, 1.2 * len(self.invs)) * 0.95)
+        elif len(self.invs) > 0.5 * self.limit:
+            self.limit = self.limit * 1.05 + 0.5
         count = [0] * max(1, len(self.tenants))
         for _, _, tenant in self.arrivals:
             if tenant < len(count):
