A second mark: answers slower than four fifths of the earlier build's

Cause: builds that need more work pass a mark that sees only answers past the SLO time until all machines run them. The same test now also judges a mark at the earlier build's own 0.8 quantile, with a wider margin; the least sample grows with the stage.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -18,6 +18,7 @@
 GROUPS = 10                 # the paper's R
 LEAST = 20                  # outcomes per build before any vote
 BACK_MARGIN, ON_MARGIN = 0.03, 0.05
+SLOW_MARGIN = 0.15
 SETTLE = 3000.0             # after the newest start, before 'on'
 MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
 SWEEP = 100.0
@@ -124,7 +125,7 @@
         """A wrong answer looked like any other: it is a bad outcome of the build that gave it."""
         server = self.servers.get(addr)
         if server:
-            self.note(server, op, f"{addr}{self.now}", True)
+            self.note(server, op, f"{addr}{self.now}", True, None)
 
     def peer(self, sender, payload):
         pass
@@ -312,8 +313,9 @@
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and late):
                 young = self.now - server.launched < 5000 if server.launched else False
                 soft = status in (SUCCEEDED, TIMEOUT)
-                if not (young and soft and late):
-                    self.note(server, inv.op, f"{addr}{inv.key or ident}", wrong or late)
+                # A young server is slow whatever it runs: its times say nothing, its errors do.
+                self.note(server, inv.op, f"{addr}{inv.key or ident}", not soft or (late and not young),
+                          None if young else time_taken)
         if status == SUCCEEDED and inv.key is not None and self.rollout.no_return:
             self.answered[inv.key] = max(self.answered.get(inv.key, 0), tried[5])
         if closed:
@@ -324,10 +326,10 @@
         elif not self.propose(ident, inv, False):
             self.give_up(ident, inv)
 
-    def note(self, server, op, unit, wrong):
-        kept = self.seen.setdefault((server.build, op), deque(maxlen=500))
+    def note(self, server, op, unit, hard, took):
+        kept = self.seen.setdefault((server.build, op), deque(maxlen=400))
         # No key at these sites: server and invocation together, or a one-server trial is a single group.
-        kept.append((self.now, crc32(unit.encode()) % GROUPS, wrong))
+        kept.append((self.now, crc32(unit.encode()) % GROUPS, hard, took))
 
     # ---- health ----
 
@@ -410,56 +412,63 @@
     # ---- votes ----
 
     def spread(self, kept):
-        """Count, mean and delete-a-group jackknife variance of one build's outcomes."""
-        n, x = len(kept), sum(k[2] for k in kept)
-        size, bad = [0] * GROUPS, [0] * GROUPS
-        for _, group, wrong in kept:
+        """Count, mean and delete-a-group jackknife variance of one build's (group, bad) outcomes."""
+        n, x = len(kept), sum(bad for _, bad in kept)
+        size, bads = [0] * GROUPS, [0] * GROUPS
+        for group, bad in kept:
             size[group] += 1
-            bad[group] += wrong
+            bads[group] += bad
         mean = x / n
         jack = (GROUPS - 1) / GROUPS * sum(
-            ((x - b) / (n - m) - mean) ** 2 for m, b in zip(size, bad) if n > m)
+            ((x - b) / (n - m) - mean) ** 2 for m, b in zip(size, bads) if n > m)
         # No failures, or few filled groups, make the jackknife vanish: never less than a binomial's variance
         # with one failure and one success added.
         guess = (x + 1) / (n + 2)
         return n, mean, max(jack, guess * (1 - guess) / n)
 
+    def compare(self, new, old):
+        """Outcomes at the new build, observed difference (one bad outcome forgiven), lower end of the interval."""
+        if not new or not old:
+            return len(new), 0.0, -1.0
+        (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
+        low = mean - base - self.width * sqrt(v + w) if min(n, m) >= LEAST else -1.0
+        return n, mean - base - 1 / n, low
+
     def evidence(self):
-        """For each operation: outcomes at the new build, observed difference, lower end of the interval."""
-        rows = []
+        """Per operation: (failed or late) and (slower than four fifths of the earlier build's answers)."""
+        wrong, slow = [], []
         for op in range(len(self.ops)):
-            new = list(self.seen.get((self.ver, op), ()))
+            new = self.seen.get((self.ver, op), ())
             old = [k for b, o in self.seen if o == op and b < self.ver for k in self.seen[b, o]]
             if new:
                 old = [k for k in old if k[0] >= new[0][0] - 1000] or old
-            if not new or not old:
-                rows.append((len(new), 0.0, -1.0))
-                continue
-            (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
-            rows.append((n, mean - base if m >= LEAST else 0.0,
-                         mean - base - self.width * sqrt(v + w) if min(n, m) >= LEAST else -1.0))
-        return rows
+            wrong.append(self.compare([k[1:3] for k in new], [k[1:3] for k in old]))
+            times = sorted(k[3] for k in old if k[3])
+            mark = times[int(0.8 * len(times))] if times else 0.0
+            slow.append(self.compare([(k[1], k[3] > mark) for k in new if k[3]],
+                                     [(k[1], k[3] > mark) for k in old if k[3]]))
+        return wrong, slow
 
     def judge(self):
         r = self.rollout
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
             return
-        rows = self.evidence()
-        verdict = None
-        if any(low > BACK_MARGIN for _, _, low in rows):
+        wrong, slow = self.evidence()
+        verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
+        if any(low > BACK_MARGIN for _, _, low in wrong) or any(low > SLOW_MARGIN for _, _, low in slow):
             verdict = BACK
-        elif self.phase == TRIAL and r.on_votes and not r.timed:
-            starts = [s.launched for _, s in self.pools[1] if s.build == self.ver]
-            settled = starts and self.now >= max(starts) + SETTLE
-            total = sum(n for n, _, _ in rows)
-            observed = sum(n * d for n, d, _ in rows) / total if total else 0.0
-            quiet = r.on_votes > 1 and starts and self.now >= max(starts) + 3 * SETTLE
-            if settled and (total >= LEAST or quiet) and observed < ON_MARGIN:
+        elif self.phase == TRIAL and r.on_votes and not r.timed and starts:
+            total = sum(n for n, _, _ in wrong)
+            quiet = r.on_votes > 1 and self.now >= max(starts) + 3 * SETTLE
+            fine = all(d < ON_MARGIN for _, d, _ in wrong) and all(d < SLOW_MARGIN for _, d, _ in slow)
+            if self.now >= max(starts) + SETTLE and fine and (total >= LEAST * (1 + self.stage) or quiet):
                 verdict = ON
-        if verdict and (self.phase, verdict) != (RELEASED, ON):
+        if verdict:
             self.out.vote(self.stage, self.ver, verdict)
+            if (verdict, self.ver, self.stage) != self.voted:
+                self.out.log(f"{'back' if verdict == BACK else 'on'} build {self.ver} stage {self.stage}: " + " ".join(
+                    f"{n}/{d:.2f}/{low:.2f}" for n, d, low in wrong + slow))
             self.voted, self.vote_at = (verdict, self.ver, self.stage), self.now
             self.vote_due = self.now + r.answer_wait + 50
-            if verdict == BACK:
-                self.out.log(f"back on build {self.ver} stage {self.stage}: " + " ".join(
-                    f"{n}/{d:.2f}/{low:.2f}" for n, d, low in rows))
+        else:
+            self.vote_due = self.now + 2 * SWEEP
