--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -54,6 +54,8 @@
         z2 = NormalDist().inv_cdf(1 - alpha / 2) ** 2
         # The paper's interval with tau = z2 * V: the half width is this factor times the square root of V.
         self.width = sqrt((1 + z2) / z2 * (-2 * log(alpha) + log(1 + z2)))
+        # The least sample grows with the share of machines that an 'on' would hand over.
+        self.need = [2 * LEAST * share for share in r.machine_shares[1:]] + [2 * LEAST]
         self.slo_mean = sum(o.slo_time for o in self.ops) / len(self.ops)
         self.servers, self.invs = {}, {}
         self.ver, self.stage, self.cap, self.phase, self.told = None, 0, 0.0, None, False
@@ -125,7 +127,7 @@
         """A wrong answer looked like any other: it is a bad outcome of the build that gave it."""
         server = self.servers.get(addr)
         if server:
-            self.note(server, op, f"{addr}{self.now}", True, None)
+            self.note(addr, server, op, self.now, True, None)
 
     def peer(self, sender, payload):
         pass
@@ -314,7 +316,7 @@
                 young = self.now - server.launched < 5000 if server.launched else False
                 soft = status in (SUCCEEDED, TIMEOUT)
                 # A young server is slow whatever it runs: its times say nothing, its errors do.
-                self.note(server, inv.op, f"{addr}{inv.key or ident}", not soft or (late and not young),
+                self.note(addr, server, inv.op, inv.key or ident, not soft or (late and not young),
                           None if young else time_taken)
         if status == SUCCEEDED and inv.key is not None and self.rollout.no_return:
             self.answered[inv.key] = max(self.answered.get(inv.key, 0), tried[5])
@@ -326,10 +328,12 @@
         elif not self.propose(ident, inv, False):
             self.give_up(ident, inv)
 
-    def note(self, server, op, unit, hard, took):
+    def note(self, addr, server, op, unit, hard, took):
         kept = self.seen.setdefault((server.build, op), deque(maxlen=400))
-        # No key at these sites: server and invocation together, or a one-server trial is a single group.
-        kept.append((self.now, crc32(unit.encode()) % GROUPS, hard, took))
+        # Without keys, a trial of few servers would fall into too few groups to leave any out: there the
+        # invocation joins the hash. With many, servers alone: two sick ones must not look like a bad build.
+        many = sum(1 for pool in self.pools for _, s in pool if s.build == server.build) >= GROUPS / 2
+        kept.append((self.now, crc32(addr.encode() if many else f"{addr}{unit}".encode()) % GROUPS, hard, took))
 
     # ---- health ----
 
@@ -412,56 +416,66 @@
     # ---- votes ----
 
     def spread(self, kept):
-        """Count, mean and delete-a-group jackknife variance of one build's (group, bad) outcomes."""
-        n, x = len(kept), sum(bad for _, bad in kept)
-        size, bads = [0] * GROUPS, [0] * GROUPS
-        for group, bad in kept:
-            size[group] += 1
-            bads[group] += bad
+        """Weight, mean and delete-a-group jackknife variance of one build's (group, bad, weight) outcomes."""
+        n, x = sum(w for _, _, w in kept), sum(w for _, bad, w in kept if bad)
+        size, bads = [0.0] * GROUPS, [0.0] * GROUPS
+        for group, bad, w in kept:
+            size[group] += w
+            bads[group] += w * bad
         mean = x / n
         jack = (GROUPS - 1) / GROUPS * sum(
-            ((x - b) / (n - m) - mean) ** 2 for m, b in zip(size, bads) if n > m)
+            ((x - b) / (n - m) - mean) ** 2 for m, b in zip(size, bads) if n - m > 1e-9)
         # No failures, or few filled groups, make the jackknife vanish: never less than a binomial's variance
         # with one failure and one success added.
-        guess = (x + 1) / (n + 2)
-        return n, mean, max(jack, guess * (1 - guess) / n)
+        real = n * n / sum(w * w for _, _, w in kept)
+        guess = (mean * real + 1) / (real + 2)
+        return real, mean, max(jack, guess * (1 - guess) / real)
 
     def compare(self, new, old):
         """Outcomes at the new build, observed difference (one bad outcome forgiven), lower end of the interval."""
         if not new or not old:
             return len(new), 0.0, -1.0
         (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
-        low = mean - base - self.width * sqrt(v + w) if min(n, m) >= LEAST else -1.0
+        low = mean - base - self.width * sqrt(v + w) if n >= LEAST <= m else -1.0
         return n, mean - base - 1 / n, low
 
     def evidence(self):
-        """Per operation: (failed or late) and (slower than four fifths of the earlier build's answers)."""
-        wrong, slow = [], []
+        """Per operation, three marks: failed or late, slower than four fifths of the earlier build's answers, and
+        (all that is left once the earlier machines have gone) failed outright."""
+        wrong, slow, hard = [], [], []
         for op in range(len(self.ops)):
             new = self.seen.get((self.ver, op), ())
             old = [k for b, o in self.seen if o == op and b < self.ver for k in self.seen[b, o]]
-            if new:
-                old = [k for k in old if k[0] >= new[0][0] - 1000] or old
-            wrong.append(self.compare([k[1:3] for k in new], [k[1:3] for k in old]))
-            times = sorted(k[3] for k in old if k[3])
+            # Against bursts and slowdowns of all servers at once: the earlier build's outcomes weigh as much in
+            # each two seconds as the new one's do there, and what has no counterpart is left out.
+            count = [{}, {}]
+            for kept, n in zip((new, old), count):
+                for k in kept:
+                    n[k[0] // 2000] = n.get(k[0] // 2000, 0) + 1
+            fresh = [k for k in new if k[0] // 2000 in count[1]]
+            base = [(k, count[0][k[0] // 2000] / count[1][k[0] // 2000]) for k in old if k[0] // 2000 in count[0]]
+            wrong.append(self.compare([(k[1], k[2] or (k[3] or 0) > self.ops[op].slo_time, 1) for k in fresh],
+                                      [(k[1], k[2] or (k[3] or 0) > self.ops[op].slo_time, w) for k, w in base]))
+            times = sorted(k[3] for k, _ in base if k[3])
             mark = times[int(0.8 * len(times))] if times else 0.0
-            slow.append(self.compare([(k[1], k[3] > mark) for k in new if k[3]],
-                                     [(k[1], k[3] > mark) for k in old if k[3]]))
-        return wrong, slow
+            slow.append(self.compare([(k[1], k[3] > mark, 1) for k in fresh if k[3]],
+                                     [(k[1], k[3] > mark, w) for k, w in base if k[3]]))
+            hard.append(self.compare([(k[1], k[2], 1) for k in new], [(k[1], k[2], 1) for k in old]))
+        return wrong, slow, hard
 
     def judge(self):
         r = self.rollout
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
             return
-        wrong, slow = self.evidence()
+        wrong, slow, hard = self.evidence()
         verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
-        if any(low > BACK_MARGIN for _, _, low in wrong) or any(low > SLOW_MARGIN for _, _, low in slow):
+        if any(low > BACK_MARGIN for _, _, low in wrong + hard) or any(low > SLOW_MARGIN for _, _, low in slow):
             verdict = BACK
         elif self.phase == TRIAL and r.on_votes and not r.timed and starts:
             total = sum(n for n, _, _ in wrong)
             quiet = r.on_votes > 1 and self.now >= max(starts) + 3 * SETTLE
             fine = all(d < ON_MARGIN for _, d, _ in wrong) and all(d < SLOW_MARGIN for _, d, _ in slow)
-            if self.now >= max(starts) + SETTLE and fine and (total >= LEAST * (1 + self.stage) or quiet):
+            if self.now >= max(starts) + SETTLE and fine and (total >= self.need[self.stage] or quiet):
                 verdict = ON
         if verdict:
             self.out.vote(self.stage, self.ver, verdict)
