--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -263,6 +263,7 @@
 
     def send(self, ident, inv, addr, server):
         """The only way out: whatever proposes a dispatch, the ledgers above decide here."""
+        op = self.ops[inv.op]
         if not self.allowed(inv, addr, server):
             return False
         inv.tries.append([addr, server.zone, server.cell, self.now, None, server.build])
@@ -271,7 +272,9 @@
             server.sent.append(self.now)
         if self.on_trial(server.build):
             self.at_trial.setdefault(server.build, deque()).append((self.now, inv.op))
-        self.out.dispatch(ident, addr, inv.deadline - self.now)
+        # An answer past the SLO time that earns nothing is not worth a server's work.
+        end = inv.deadline if op.late_value else min(inv.deadline, inv.taken + op.slo_time)
+        self.out.dispatch(ident, addr, max(self.tick, end - self.now))
         return True
 
     def give_up(self, ident, inv):
@@ -311,8 +314,8 @@
             server.recent.append((self.now, time_taken, wrong))
             if status in (SUCCEEDED, TIMEOUT):
                 self.answers.append((self.now, time_taken / op.slo_time))
-            late = time_taken > op.slo_time
-            if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and late):
+            late = time_taken > (0.9 if status == TIMEOUT else 1) * op.slo_time
+            if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and time_taken > 0.9 * op.slo_time):
                 young = self.now - server.launched < 5000 if server.launched else False
                 soft = status in (SUCCEEDED, TIMEOUT)
                 # A young server is slow whatever it runs: its times say nothing, its errors do.
@@ -325,7 +328,7 @@
             self.drop_rest(ident, inv)
         elif any(t[4] is None for t in inv.tries):
             return
-        elif not self.propose(ident, inv, False):
+        elif (not op.late_value and self.now >= inv.taken + 0.9 * op.slo_time) or not self.propose(ident, inv, False):
             self.give_up(ident, inv)
 
     def note(self, addr, server, op, unit, hard, took):
@@ -388,11 +391,12 @@
 
     def pressure(self):
         """Queues everywhere make every answer late. Against bursts, overload and slowdowns of all servers alike:
-        a bound on open invocations shrinks while the middle answer takes over half its SLO time and grows again
+        a bound on open invocations shrinks while one answer in five takes most of its SLO time and grows again
         otherwise. It hurts where answers come late for reasons that load does not move."""
         fresh = sorted(x for t, x in self.answers if t > self.now - 1000)
         fresh += [2.0] * sum(1 for i in self.invs.values() if self.now - i.taken > self.ops[i.op].slo_time)
-        if len(fresh) >= 5 and fresh[len(fresh) // 2] > 0.5:
+        fresh.sort()
+        if len(fresh) >= 5 and fresh[int(0.8 * len(fresh))] > 0.7:
             self.limit = max(4.0, min(self.limit, 1.2 * len(self.invs)) * 0.95)
         elif len(self.invs) > 0.5 * self.limit:
             self.limit = self.limit * 1.05 + 0.5
