--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -65,7 +65,7 @@
         self.seen = {}              # (build, operation) -> deque of (time, group, went wrong)
         self.answered = {}          # key -> build that answered it
         self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
-        self.typical, self.limit, self.worths, self.sweep_at = None, 1e9, [], 0.0
+        self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, 0.0, [], 0.0
         self.pools = ([], [])
 
     def round(self, now, events, out):
@@ -313,7 +313,7 @@
             wrong = status != SUCCEEDED
             server.recent.append((self.now, time_taken, wrong))
             if status in (SUCCEEDED, TIMEOUT):
-                self.answers.append((self.now, time_taken / op.slo_time))
+                self.answers.append((tried[3], time_taken / op.slo_time))
             late = time_taken > (0.9 if status == TIMEOUT else 1) * op.slo_time
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and time_taken > 0.9 * op.slo_time):
                 young = self.now - server.launched < 5000 if server.launched else False
@@ -393,13 +393,14 @@
         """Queues everywhere make every answer late. Against bursts, overload and slowdowns of all servers alike:
         a bound on open invocations shrinks while one answer in five takes most of its SLO time and grows again
         otherwise. It hurts where answers come late for reasons that load does not move."""
-        fresh = sorted(x for t, x in self.answers if t > self.now - 1000)
-        fresh += [2.0] * sum(1 for i in self.invs.values() if self.now - i.taken > self.ops[i.op].slo_time)
+        since = max(self.now - 2 * self.slo_mean, self.cut_at)      # what an earlier cut has already answered
+        fresh = [x for t, x in self.answers if t > since]
+        fresh += [2.0 for i in self.invs.values() if i.taken > since and self.now - i.taken > self.ops[i.op].slo_time]
         fresh.sort()
-        if len(fresh) >= 5 and fresh[int(0.8 * len(fresh))] > 0.7:
-            self.limit = max(4.0, min(self.limit, 1.2 * len(self.invs)) * 0.95)
+        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.7:
+            self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
         elif len(self.invs) > 0.5 * self.limit:
-            self.limit = self.limit * 1.05 + 0.5
+            self.limit = self.limit * 1.01 + 0.05
         count = [0] * max(1, len(self.tenants))
         for _, _, tenant in self.arrivals:
             if tenant < len(count):
