--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -67,6 +67,8 @@
         self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
         self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, 0.0, [], 0.0
         self.pools = ([], [])
+        self.rate, self.fair_rate, self.rate_before, self.before = 0.0, 0.0, 0.0, []
+        self.over = {}             # tenant -> beyond its share
 
     def round(self, now, events, out):
         self.now, self.out = now, out
@@ -116,6 +118,10 @@
         if (ver, stage, phase) != (self.ver, self.stage, self.phase):
             self.vote_due = self.now
         if ver != self.ver:
+            since = self.now - 8000
+            self.before = [sorted(k[3] for (_, o), kept in self.seen.items() if o == op for k in kept
+                                  if k[3] and k[0] > since) for op in range(len(self.ops))]
+            self.rate_before = self.rate
             self.seen = {k: v for k, v in self.seen.items() if k[0] >= ver - 2}
         self.ver, self.stage, self.cap, self.phase, self.told = ver, stage, cap, phase, True
         self.sort_pools()
@@ -127,7 +133,7 @@
         """A wrong answer looked like any other: it is a bad outcome of the build that gave it."""
         server = self.servers.get(addr)
         if server:
-            self.note(addr, server, op, self.now, True, None)
+            self.note(addr, server, op, self.now, ERROR, None)
 
     def peer(self, sender, payload):
         pass
@@ -208,8 +214,6 @@
             worth *= self.over_value
         return worth
 
-    over = {}
-
     # ---- the rule ledgers ----
 
     def allowed(self, inv, addr, server):
@@ -259,8 +263,6 @@
             server.sent.popleft()
         return len(server.sent) + 1 <= max(1.0, self.fair_rate * server.heft * self.ramp(server) * self.overload_for)
 
-    fair_rate = 0.0             # own invocations a millisecond for each unit of size in the fleet
-
     def send(self, ident, inv, addr, server):
         """The only way out: whatever proposes a dispatch, the ledgers above decide here."""
         op = self.ops[inv.op]
@@ -319,8 +321,7 @@
                 young = self.now - server.launched < 5000 if server.launched else False
                 soft = status in (SUCCEEDED, TIMEOUT)
                 # A young server is slow whatever it runs: its times say nothing, its errors do.
-                self.note(addr, server, inv.op, inv.key or ident, not soft or (late and not young),
-                          None if young else time_taken)
+                self.note(addr, server, inv.op, inv.key or ident, status, None if young else time_taken)
         if status == SUCCEEDED and inv.key is not None and self.rollout.no_return:
             self.answered[inv.key] = max(self.answered.get(inv.key, 0), tried[5])
         if closed:
@@ -331,12 +332,12 @@
         elif (not op.late_value and self.now >= inv.taken + 0.9 * op.slo_time) or not self.propose(ident, inv, False):
             self.give_up(ident, inv)
 
-    def note(self, addr, server, op, unit, hard, took):
+    def note(self, addr, server, op, unit, status, took):
         kept = self.seen.setdefault((server.build, op), deque(maxlen=400))
         # Without keys, a trial of few servers would fall into too few groups to leave any out: there the
         # invocation joins the hash. With many, servers alone: two sick ones must not look like a bad build.
         many = sum(1 for pool in self.pools for _, s in pool if s.build == server.build) >= GROUPS / 2
-        kept.append((self.now, crc32(addr.encode() if many else f"{addr}{unit}".encode()) % GROUPS, hard, took))
+        kept.append((self.now, crc32(addr.encode() if many else f"{addr}{unit}".encode()) % GROUPS, status, took))
 
     # ---- health ----
 
@@ -351,7 +352,8 @@
             self.arrivals.popleft()
         span = min(4000.0, now - self.arrivals[0][0]) if self.arrivals else 0.0
         total = sum(s.heft for pool in self.pools for _, s in pool)
-        self.fair_rate = len(self.arrivals) / max(span, 1000.0) / total if total else 0.0
+        self.rate = len(self.arrivals) / max(span, 1000.0)
+        self.fair_rate = self.rate / total if total else 0.0
         for ident, inv in list(self.invs.items()):
             if now >= inv.deadline:
                 self.invs.pop(ident)
@@ -459,15 +461,30 @@
                     n[k[0] // 2000] = n.get(k[0] // 2000, 0) + 1
             fresh = [k for k in new if k[0] // 2000 in count[1]]
             base = [(k, count[0][k[0] // 2000] / count[1][k[0] // 2000]) for k in old if k[0] // 2000 in count[0]]
-            wrong.append(self.compare([(k[1], k[2] or (k[3] or 0) > self.ops[op].slo_time, 1) for k in fresh],
-                                      [(k[1], k[2] or (k[3] or 0) > self.ops[op].slo_time, w) for k, w in base]))
+            bad = lambda k: k[2] in (ERROR, RESET) or (k[3] or 0) > 0.9 * self.ops[op].slo_time
+            wrong.append(self.compare([(k[1], bad(k), 1) for k in fresh], [(k[1], bad(k), w) for k, w in base]))
             times = sorted(k[3] for k, _ in base if k[3])
             mark = times[int(0.8 * len(times))] if times else 0.0
             slow.append(self.compare([(k[1], k[3] > mark, 1) for k in fresh if k[3]],
                                      [(k[1], k[3] > mark, w) for k, w in base if k[3]]))
-            hard.append(self.compare([(k[1], k[2], 1) for k in new], [(k[1], k[2], 1) for k in old]))
+            # Not resets: a broken link after the release looks the same whichever build runs.
+            hard.append(self.compare([(k[1], k[2] == ERROR, 1) for k in new], [(k[1], k[2] == ERROR, 1) for k in old]))
         return wrong, slow, hard
 
+    def slowed_all(self):
+        """Old and new slow alike: no difference shows, so the earlier build is held against itself before the
+        offer. Against builds that slow every server in step with their traffic; it also waits out a slowdown
+        from outside, which delays a good build, and stands aside when more is asked than before."""
+        if self.rate > 1.2 * self.rate_before:
+            return False
+        size = slow = 0
+        for op, times in enumerate(self.before):
+            if len(times) >= LEAST:
+                took = [k[3] for (b, o), kept in self.seen.items() if o == op and b < self.ver for k in kept
+                        if k[3] and k[0] > self.now - 4000]
+                size, slow = size + len(took), slow + sum(1 for t in took if t > times[int(0.8 * len(times))])
+        return size >= LEAST and slow / size - sqrt(slow / size * (1 - slow / size) / size) > 0.2 + SLOW_MARGIN / 2
+
     def judge(self):
         r = self.rollout
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
@@ -480,7 +497,7 @@
             total = sum(n for n, _, _ in wrong)
             quiet = r.on_votes > 1 and self.now >= max(starts) + 3 * SETTLE
             fine = all(d < ON_MARGIN for _, d, _ in wrong) and all(d < SLOW_MARGIN for _, d, _ in slow)
-            if self.now >= max(starts) + SETTLE and fine and (total >= self.need[self.stage] or quiet):
+            if self.now >= max(starts) + SETTLE and fine and not self.slowed_all() and (total >= self.need[self.stage] or quiet):
                 verdict = ON
         if verdict:
             self.out.vote(self.stage, self.ver, verdict)
