Send back a release that halves the answers in time; on waits for three unslowed seconds

Should also hold against builds that fail only when busy, and against wrong releases after a lucky sample; hurts where half the fleet fails as a good build is released.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -21,6 +21,7 @@
 SLOW_MARGIN = 0.15
 SETTLE = 3000.0             # after the newest start, before 'on'
 MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
+COUNT = 4000.0              # over which traffic and answers in time are counted
 SWEEP = 100.0
 
 
@@ -67,6 +68,7 @@
         self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
         self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, 0.0, [], 0.0
         self.pools = ([], [])
+        self.good, self.good_before, self.released_at, self.slowed_at = deque(maxlen=1000), 0, 0.0, -1e9
         self.rate, self.fair_rate, self.rate_before, self.before = 0.0, 0.0, 0.0, []
         self.over = {}             # tenant -> beyond its share
 
@@ -115,10 +117,12 @@
             return
         if answer and self.voted and self.voted[1] == ver:
             self.vote_due = max(self.vote_due, self.vote_at + 0.6 * self.rollout.vote_life)
+        if phase == RELEASED and self.phase == TRIAL and ver == self.ver:
+            self.released_at, self.good_before = self.now, sum(1 for t in self.good if t > self.now - COUNT)
         if (ver, stage, phase) != (self.ver, self.stage, self.phase):
             self.vote_due = self.now
         if ver != self.ver:
-            since = self.now - 8000
+            since = self.now - 20000
             self.before = [sorted(k[3] for (_, o), kept in self.seen.items() if o == op for k in kept
                                   if k[3] and k[0] > since) for op in range(len(self.ops))]
             self.rate_before = self.rate
@@ -316,6 +320,8 @@
             server.recent.append((self.now, time_taken, wrong))
             if status in (SUCCEEDED, TIMEOUT):
                 self.answers.append((tried[3], time_taken / op.slo_time))
+            if status == SUCCEEDED and time_taken <= op.slo_time:
+                self.good.append(self.now)
             late = time_taken > (0.9 if status == TIMEOUT else 1) * op.slo_time
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and time_taken > 0.9 * op.slo_time):
                 young = self.now - server.launched < 5000 if server.launched else False
@@ -348,9 +354,9 @@
         for made in self.at_trial.values():
             while made and made[0][0] < now - window:
                 made.popleft()
-        while self.arrivals and self.arrivals[0][0] < now - 4000:
+        while self.arrivals and self.arrivals[0][0] < now - COUNT:
             self.arrivals.popleft()
-        span = min(4000.0, now - self.arrivals[0][0]) if self.arrivals else 0.0
+        span = min(COUNT, now - self.arrivals[0][0]) if self.arrivals else 0.0
         total = sum(s.heft for pool in self.pools for _, s in pool)
         self.rate = len(self.arrivals) / max(span, 1000.0)
         self.fair_rate = self.rate / total if total else 0.0
@@ -479,25 +485,37 @@
             return False
         size = slow = 0
         for op, times in enumerate(self.before):
-            if len(times) >= LEAST:
+            if len(times) >= 5:
                 took = [k[3] for (b, o), kept in self.seen.items() if o == op and b < self.ver for k in kept
                         if k[3] and k[0] > self.now - 4000]
                 size, slow = size + len(took), slow + sum(1 for t in took if t > times[int(0.8 * len(times))])
-        return size >= LEAST and slow / size - sqrt(slow / size * (1 - slow / size) / size) > 0.2 + SLOW_MARGIN / 2
+        return size >= 8 and slow / size > 0.2 + SLOW_MARGIN
+
+    def collapsed(self):
+        """After the release nothing is left to compare with but before: under half of the answers in time that there
+        were as it came, and most of what is asked unanswered, for as long as a whole count. Against builds that
+        are bad only under all of the traffic; a fleet half of which fails at that moment would look the same."""
+        if self.phase != RELEASED or self.now < self.released_at + 2 * COUNT:
+            return False
+        good = sum(1 for t in self.good if t > self.now - COUNT)
+        return self.good_before >= LEAST and good < 0.5 * self.good_before and good < 0.4 * len(self.arrivals)
 
     def judge(self):
         r = self.rollout
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
             return
         wrong, slow, hard = self.evidence()
+        if self.phase == TRIAL and self.slowed_all():
+            self.slowed_at = self.now
         verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
-        if any(low > BACK_MARGIN for _, _, low in wrong + hard) or any(low > SLOW_MARGIN for _, _, low in slow):
+        if any(low > BACK_MARGIN for _, _, low in wrong + hard) or any(low > SLOW_MARGIN for _, _, low in slow) or (
+                self.collapsed()):
             verdict = BACK
         elif self.phase == TRIAL and r.on_votes and not r.timed and starts:
             total = sum(n for n, _, _ in wrong)
             quiet = r.on_votes > 1 and self.now >= max(starts) + 3 * SETTLE
             fine = all(d < ON_MARGIN for _, d, _ in wrong) and all(d < SLOW_MARGIN for _, d, _ in slow)
-            if self.now >= max(starts) + SETTLE and fine and not self.slowed_all() and (total >= self.need[self.stage] or quiet):
+            if self.now >= max(starts) + SETTLE and fine and self.now >= self.slowed_at + SETTLE and (total >= self.need[self.stage] or quiet):
                 verdict = ON
         if verdict:
             self.out.vote(self.stage, self.ver, verdict)
