--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,5 +1,66 @@
-from gannetfront import balance
+from math import isclose, log, sqrt
+from pathlib import Path
+from statistics import NormalDist
 
+import pytest
 
-def test_imports():
-    assert balance.GROUPS == 10
+from gannetfront.benchlink import codec
+from gannetfront.benchlink.__main__ import Link
+from helpers import Stage
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+def facts(words):
+    read = {"True": True, "False": False}
+    return {k: read[v] if v in read else float(v) for k, v in (w.split("=") for w in words)}
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda p: p.stem)
+def test_scenario(path):
+    lines = [x.split("#")[0].strip() for x in path.read_text().splitlines()]
+    lines = [x for x in lines if x]
+    head = lines.pop(0).split()[1:] if lines[0].startswith("set ") else []
+    stage = Stage(facts(head))
+    for line in lines:
+        stage.play(line)
+    ends = [a[1] for a in stage.out.acts if a[0] in ("throttle", "terminate")]
+    assert len(ends) == len(set(ends)), "an invocation got two final answers"
+
+
+@pytest.fixture
+def judge():
+    return Stage({}).balancer
+
+
+def test_jackknife_against_hand_figures(judge):
+    # Ten groups of two, one bad outcome in each of the first two: leaving one of those out gives 1/18, any
+    # other 2/18, about a mean of 0.1.
+    kept = [(g, g < 2 and half == 0, 1) for g in range(10) for half in (0, 1)]
+    n, mean, v = judge.spread(kept)
+    jack = 0.9 * (2 * (1 / 18 - 0.1) ** 2 + 8 * (2 / 18 - 0.1) ** 2)
+    guess = 3 / 22
+    assert (n, mean) == (20, 0.1) and isclose(v, max(jack, guess * (1 - guess) / 20))
+    # Bad outcomes heaped in one group: here the jackknife is the larger.
+    heaped = [(g, g == 0, 1) for g in range(10) for _ in (0, 1)]
+    assert isclose(judge.spread(heaped)[2], 0.9 * ((0 - 0.1) ** 2 + 9 * (2 / 18 - 0.1) ** 2))
+
+
+def test_interval_against_the_paper(judge):
+    alpha, v = 0.05 / (2 * 3), 0.004
+    tau = NormalDist().inv_cdf(1 - alpha / 2) ** 2 * v
+    half = sqrt(v * (v + tau) / tau * (-2 * log(alpha) - log(v / (v + tau))))
+    assert isclose(judge.width * sqrt(v), half)
+
+
+def test_no_failures_leave_some_variance(judge):
+    clean = [(g, False, 1) for g in range(10) for _ in (0, 1)]
+    n, difference, low = judge.compare(clean, clean)
+    assert judge.spread(clean)[2] > 0 and difference < 0 and -1 < low < 0
+
+
+def test_codec_reports_a_bad_line():
+    with pytest.raises(codec.BadLine, match="cannot read 'inbound x"):
+        link = Link()
+        link.balancers["proxy/1"], link.fields["proxy/1"] = None, ()
+        link.batch(["round 1.0", "on proxy/1", "inbound x"])
