--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -1,11 +1,11 @@
 """Every decision of gannetfront: where an invocation goes, when it is given up, how a build is judged.
 
-One Balancer serves one proxy. The carrier calls `round(now, events, out)` once a round: each event is the name
-of a method below and its fields; decisions go straight into `out`. Types and the writer: interface.py.
-Order below: what is told, routing, the rule ledgers (`send` is the only way out), outcomes, health, votes.
+One Balancer serves one proxy. The carrier calls `round(now, events, out)` once a round: each event is the
+name of a method below and its fields; decisions go straight into `out`. Types and writer: interface.py.
+Order: what is told, routing, the rule ledgers (`send` is the only way out), outcomes, health, votes.
 """
 from bisect import bisect_left
-from collections import deque
+from collections import Counter, deque
 from math import exp, log, sqrt
 from statistics import NormalDist, median
 from zlib import crc32
@@ -19,6 +19,7 @@
 LEAST = 20                  # outcomes per build before any vote
 BACK_MARGIN, ON_MARGIN = 0.03, 0.05
 SLOW_MARGIN = 0.15
+YOUTH = 5000.0              # a younger server's times are not its build's
 SETTLE = 3000.0             # after the newest start, before 'on'
 MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
 COUNT = 4000.0              # over which traffic and answers in time are counted
@@ -43,14 +44,20 @@
 class Balancer:
     def __init__(self, seed, site):
         self.chance_state = seed & (2**64 - 1)
-        self.me, self.balancers, self.zone = site.me, site.balancers, site.zone
-        self.ops, self.tenants, self.over_value = site.operations, site.tenants, site.over_share_value
-        self.rollout = r = site.rollout
-        self.may_probe, self.may_cancel, self.may_duplicate = site.may_probe, site.may_cancel, site.may_duplicate
-        self.may_signal, self.dispatch_cap, self.subscribe = site.may_signal, site.dispatch_cap, site.must_subscribe
-        self.retry_advice, self.cross_price = site.retry_advice, site.cross_zone_price
-        self.cold_share, self.warm_within = site.cold_share, site.warm_within
-        self.fall_multiple, self.overload_for, self.tick = site.fall_multiple, site.overload_for, site.tick
+        r, self.ops, self.zone, self.tick = site.rollout, site.operations, site.zone, site.tick
+        self.tenants, self.over_value = site.tenants, site.over_share_value
+        self.may_cancel, self.may_duplicate, self.retry_advice = (
+            site.may_cancel, site.may_duplicate, site.retry_advice)
+        self.dispatch_cap, self.subscribe, self.cross_price = (
+            site.dispatch_cap, site.must_subscribe, site.cross_zone_price)
+        self.cold_share, self.warm_within, self.overload_for = (
+            site.cold_share, site.warm_within, site.overload_for)
+        # Exposure counts dispatches over slightly more than the window and intake over slightly less.
+        self.made_for, self.took_for = r.window + 2 * site.tick, r.window - 2 * site.tick
+        self.free, self.first_cap, self.guarded = r.free, r.caps[0], r.guarded
+        self.by_operation, self.no_return = r.by_operation, r.no_return
+        self.votes_on, self.agree = r.on_votes > 0 and not r.timed, r.on_votes > 1
+        self.renew_after, self.answer_wait = 0.6 * r.vote_life, r.answer_wait + 50
         alpha = 0.05 / (site.balancers * len(site.operations))
         z2 = NormalDist().inv_cdf(1 - alpha / 2) ** 2
         # The paper's interval with tau = z2 * V: the half width is this factor times the square root of V.
@@ -116,7 +123,7 @@
             self.voted, self.vote_due = None, self.now + 150 + 300 * self.chance()
             return
         if answer and self.voted and self.voted[1] == ver:
-            self.vote_due = max(self.vote_due, self.vote_at + 0.6 * self.rollout.vote_life)
+            self.vote_due = max(self.vote_due, self.vote_at + self.renew_after)
         if phase == RELEASED and self.phase == TRIAL and ver == self.ver:
             self.released_at, self.good_before = self.now, sum(1 for t in self.good if t > self.now - COUNT)
         if (ver, stage, phase) != (self.ver, self.stage, self.phase):
@@ -130,8 +137,10 @@
         self.ver, self.stage, self.cap, self.phase, self.told = ver, stage, cap, phase, True
         self.sort_pools()
 
-    def tally(self, attempts, since, not_ok, time_taken, op, ver):
-        pass
+    def not_used(self, *fields):
+        """Told, but nothing here rests on it yet."""
+
+    tally = peer = begun = timer = probed = not_used
 
     def contested(self, since, op, addr):
         """A wrong answer looked like any other: it is a bad outcome of the build that gave it."""
@@ -139,15 +148,6 @@
         if server:
             self.note(addr, server, op, self.now, ERROR, None)
 
-    def peer(self, sender, payload):
-        pass
-
-    def begun(self, inv, seq, addr, time_taken):
-        pass
-
-    def timer(self, key):
-        pass
-
     # ---- routing: proposals only ----
 
     def on_trial(self, build):
@@ -174,7 +174,7 @@
                 + (self.cross_price if server.zone != self.zone else 0.0))
 
     def choose(self, pool, op, inv):
-        """Two random choices inside the build, weighted by size; two more from home where crossing is priced."""
+        """Two random choices inside the build, by size; two more from home where crossing is priced."""
         pool = [p for p in pool if all(p[0] != t[0] for t in inv.tries) and self.allowed(inv, p[0], p[1])]
         if not pool:
             return None
@@ -222,7 +222,8 @@
 
     def allowed(self, inv, addr, server):
         op = self.ops[inv.op]
-        if server.state != READY or len(inv.tries) >= self.dispatch_cap or inv.deadline - self.now < self.tick:
+        if (server.state != READY or len(inv.tries) >= self.dispatch_cap
+                or inv.deadline - self.now < self.tick):
             return False
         may_have_run = [t for t in inv.tries if t[4] not in NEVER_RAN]
         if may_have_run:
@@ -240,24 +241,20 @@
         if self.on_trial(server.build):
             if not self.exposed(server.build, inv.op):
                 return False
-        elif inv.key is not None and self.rollout.no_return and self.phase in (TRIAL, RELEASED):
-            if self.answered.get(inv.key, -1) > server.build:
-                return False
+        elif (self.no_return and self.phase in (TRIAL, RELEASED)
+              and self.answered.get(inv.key, -1) > server.build):
+            return False
         return self.cold_room(server)
 
     def exposed(self, build, op):
-        """Room under the cap, counted over a slightly longer past for dispatches and a shorter one for intake."""
-        r, known = self.rollout, self.told and build == self.ver
-        stage, cap = (self.stage, self.cap) if known else (0, r.caps[0])
-        if cap <= 0 or (stage < r.guarded and self.ops[op].effect != IDEMPOTENT):
+        stage, cap = (self.stage, self.cap) if self.told and build == self.ver else (0, self.first_cap)
+        if cap <= 0 or (stage < self.guarded and self.ops[op].effect != IDEMPOTENT):
             return False
-        if self.told and self.phase == RELEASED and build == self.ver:
-            return True
-        alike = (lambda o: o == op) if r.by_operation else (lambda o: True)
-        since, until = self.now - r.window + 2 * self.tick, self.now - r.window - 2 * self.tick
-        took = sum(1 for t, o in self.taken if t > since and alike(o))
-        made = sum(1 for t, o in self.at_trial.get(build, ()) if t > until and alike(o))
-        return made + 1 <= r.free + cap * took
+        either = not self.by_operation
+        took = sum(1 for t, o in self.taken if t > self.now - self.took_for and (either or o == op))
+        made = sum(1 for t, o in self.at_trial.get(build, ())
+                   if t > self.now - self.made_for and (either or o == op))
+        return made + 1 <= self.free + cap * took
 
     def cold_room(self, server):
         """A cold server falls to what all proxies send together: each keeps to its fair part of its ramp."""
@@ -265,7 +262,8 @@
             return True
         while server.sent and server.sent[0] <= self.now - self.overload_for:
             server.sent.popleft()
-        return len(server.sent) + 1 <= max(1.0, self.fair_rate * server.heft * self.ramp(server) * self.overload_for)
+        fair = self.fair_rate * server.heft * self.ramp(server)
+        return len(server.sent) + 1 <= max(1.0, fair * self.overload_for)
 
     def send(self, ident, inv, addr, server):
         """The only way out: whatever proposes a dispatch, the ledgers above decide here."""
@@ -316,39 +314,39 @@
         tried, op = inv.tries[seq], self.ops[inv.op]
         tried[4] = status
         if server and server.build == tried[5] and sent is not None and status not in (MOOT, CANCELLED):
-            wrong = status != SUCCEEDED
-            server.recent.append((self.now, time_taken, wrong))
+            server.recent.append((self.now, time_taken, status != SUCCEEDED))
             if status in (SUCCEEDED, TIMEOUT):
                 self.answers.append((tried[3], time_taken / op.slo_time))
             if status == SUCCEEDED and time_taken <= op.slo_time:
                 self.good.append(self.now)
-            late = time_taken > (0.9 if status == TIMEOUT else 1) * op.slo_time
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and time_taken > 0.9 * op.slo_time):
-                young = self.now - server.launched < 5000 if server.launched else False
-                soft = status in (SUCCEEDED, TIMEOUT)
                 # A young server is slow whatever it runs: its times say nothing, its errors do.
+                young = server.launched and self.now - server.launched < YOUTH
                 self.note(addr, server, inv.op, inv.key or ident, status, None if young else time_taken)
-        if status == SUCCEEDED and inv.key is not None and self.rollout.no_return:
+        if status == SUCCEEDED and inv.key is not None and self.no_return:
             self.answered[inv.key] = max(self.answered.get(inv.key, 0), tried[5])
         if closed:
             self.invs.pop(ident, None)
             self.drop_rest(ident, inv)
         elif any(t[4] is None for t in inv.tries):
             return
-        elif (not op.late_value and self.now >= inv.taken + 0.9 * op.slo_time) or not self.propose(ident, inv, False):
-            self.give_up(ident, inv)
+        else:
+            spent = not op.late_value and self.now >= inv.taken + 0.9 * op.slo_time
+            if spent or not self.propose(ident, inv, False):
+                self.give_up(ident, inv)
 
     def note(self, addr, server, op, unit, status, took):
         kept = self.seen.setdefault((server.build, op), deque(maxlen=400))
         # Without keys, a trial of few servers would fall into too few groups to leave any out: there the
         # invocation joins the hash. With many, servers alone: two sick ones must not look like a bad build.
         many = sum(1 for pool in self.pools for _, s in pool if s.build == server.build) >= GROUPS / 2
-        kept.append((self.now, crc32(addr.encode() if many else f"{addr}{unit}".encode()) % GROUPS, status, took))
+        unit = addr if many else f"{addr}{unit}"
+        kept.append((self.now, crc32(unit.encode()) % GROUPS, status, took))
 
     # ---- health ----
 
     def sweep(self):
-        now, window = self.now, self.rollout.window + 4 * self.tick
+        now, window = self.now, self.made_for + self.tick
         while self.taken and self.taken[0][0] < now - window:
             self.taken.popleft()
         for made in self.at_trial.values():
@@ -398,12 +396,13 @@
                 self.out.cancel(ident, 0)
 
     def pressure(self):
-        """Queues everywhere make every answer late. Against bursts, overload and slowdowns of all servers alike:
-        a bound on open invocations shrinks while one answer in five takes most of its SLO time and grows again
-        otherwise. It hurts where answers come late for reasons that load does not move."""
+        """Queues everywhere make every answer late. Against bursts, overload and slowdowns of all servers:
+        a bound on open invocations shrinks while one answer in five takes most of its SLO time and grows
+        again otherwise. It hurts where answers come late for reasons that load does not move."""
         since = max(self.now - 2 * self.slo_mean, self.cut_at)      # what an earlier cut has already answered
         fresh = [x for t, x in self.answers if t > since]
-        fresh += [2.0 for i in self.invs.values() if i.taken > since and self.now - i.taken > self.ops[i.op].slo_time]
+        fresh += [2.0 for inv in self.invs.values()
+                  if since < inv.taken < self.now - self.ops[inv.op].slo_time]
         fresh.sort()
         if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.7:
             self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
@@ -422,10 +421,6 @@
         below = bisect_left(self.worths, self.value(inv.op, inv.tenant)) / max(1, len(self.worths))
         return len(self.invs) > self.limit * (0.6 + 0.4 * below)
 
-    def probed(self, addr, status, time_taken, load):
-        if addr in self.servers and load:
-            self.servers[addr].load = load
-
     # ---- votes ----
 
     def spread(self, kept):
@@ -445,7 +440,7 @@
         return real, mean, max(jack, guess * (1 - guess) / real)
 
     def compare(self, new, old):
-        """Outcomes at the new build, observed difference (one bad outcome forgiven), lower end of the interval."""
+        """New outcomes, difference seen (one bad outcome forgiven), lower end of the interval."""
         if not new or not old:
             return len(new), 0.0, -1.0
         (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
@@ -453,34 +448,32 @@
         return n, mean - base - 1 / n, low
 
     def evidence(self):
-        """Per operation, three marks: failed or late, slower than four fifths of the earlier build's answers, and
-        (all that is left once the earlier machines have gone) failed outright."""
+        """Per operation, three marks: failed or late, slower than four fifths of the earlier build's answers,
+        and (all that is left once the earlier machines have gone) failed outright."""
         wrong, slow, hard = [], [], []
-        for op in range(len(self.ops)):
+        for op, facts in enumerate(self.ops):
             new = self.seen.get((self.ver, op), ())
-            old = [k for b, o in self.seen if o == op and b < self.ver for k in self.seen[b, o]]
-            # Against bursts and slowdowns of all servers at once: the earlier build's outcomes weigh as much in
-            # each two seconds as the new one's do there, and what has no counterpart is left out.
-            count = [{}, {}]
-            for kept, n in zip((new, old), count):
-                for k in kept:
-                    n[k[0] // 2000] = n.get(k[0] // 2000, 0) + 1
-            fresh = [k for k in new if k[0] // 2000 in count[1]]
-            base = [(k, count[0][k[0] // 2000] / count[1][k[0] // 2000]) for k in old if k[0] // 2000 in count[0]]
-            bad = lambda k: k[2] in (ERROR, RESET) or (k[3] or 0) > 0.9 * self.ops[op].slo_time
-            wrong.append(self.compare([(k[1], bad(k), 1) for k in fresh], [(k[1], bad(k), w) for k, w in base]))
-            times = sorted(k[3] for k, _ in base if k[3])
+            old = [k for (b, o), kept in self.seen.items() if o == op and b < self.ver for k in kept]
+            # Against bursts and slowdowns of all servers at once: the earlier build's outcomes weigh as much
+            # in each two seconds as the new one's do there; what has no counterpart is left out.
+            news, olds = Counter(k[0] // 2000 for k in new), Counter(k[0] // 2000 for k in old)
+            met = [(*k, 1) for k in new if k[0] // 2000 in olds]
+            base = [(*k, news[k[0] // 2000] / olds[k[0] // 2000]) for k in old if k[0] // 2000 in news]
+            times = sorted(k[3] for k in base if k[3])
             mark = times[int(0.8 * len(times))] if times else 0.0
-            slow.append(self.compare([(k[1], k[3] > mark, 1) for k in fresh if k[3]],
-                                     [(k[1], k[3] > mark, w) for k, w in base if k[3]]))
+            wrong.append(self.compare(*([
+                (g, status in (ERROR, RESET) or (took or 0) > 0.9 * facts.slo_time, w)
+                for _, g, status, took, w in kept] for kept in (met, base))))
+            slow.append(self.compare(*([
+                (g, took > mark, w) for _, g, _, took, w in kept if took] for kept in (met, base))))
             # Not resets: a broken link after the release looks the same whichever build runs.
-            hard.append(self.compare([(k[1], k[2] == ERROR, 1) for k in new], [(k[1], k[2] == ERROR, 1) for k in old]))
+            hard.append(self.compare(*([(k[1], k[2] == ERROR, 1) for k in kept] for kept in (new, old))))
         return wrong, slow, hard
 
     def slowed_all(self):
-        """Old and new slow alike: no difference shows, so the earlier build is held against itself before the
-        offer. Against builds that slow every server in step with their traffic; it also waits out a slowdown
-        from outside, which delays a good build, and stands aside when more is asked than before."""
+        """Old and new slow alike: no difference shows, so the earlier build is held against itself before
+        the offer. Against builds that slow every server in step with their traffic; it also waits out a
+        slowdown from outside, which delays a good build, and stands aside when more is asked than before."""
         if self.rate > 1.2 * self.rate_before:
             return False
         size = slow = 0
@@ -492,37 +485,36 @@
         return size >= 8 and slow / size > 0.2 + SLOW_MARGIN
 
     def collapsed(self):
-        """After the release nothing is left to compare with but before: under half of the answers in time that there
-        were as it came, and most of what is asked unanswered, for as long as a whole count. Against builds that
-        are bad only under all of the traffic; a fleet half of which fails at that moment would look the same."""
+        """After the release nothing is left to compare with but before: under half of the answers in time
+        that there were as it came, and most of what is asked unanswered. Against builds that are bad only
+        under all of the traffic; a fleet half of which fails at that moment would look the same."""
         if self.phase != RELEASED or self.now < self.released_at + 2 * COUNT:
             return False
         good = sum(1 for t in self.good if t > self.now - COUNT)
         return self.good_before >= LEAST and good < 0.5 * self.good_before and good < 0.4 * len(self.arrivals)
 
     def judge(self):
-        r = self.rollout
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
             return
         wrong, slow, hard = self.evidence()
         if self.phase == TRIAL and self.slowed_all():
             self.slowed_at = self.now
         verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
-        if any(low > BACK_MARGIN for _, _, low in wrong + hard) or any(low > SLOW_MARGIN for _, _, low in slow) or (
-                self.collapsed()):
+        if (any(low > BACK_MARGIN for _, _, low in wrong + hard)
+                or any(low > SLOW_MARGIN for _, _, low in slow) or self.collapsed()):
             verdict = BACK
-        elif self.phase == TRIAL and r.on_votes and not r.timed and starts:
-            total = sum(n for n, _, _ in wrong)
-            quiet = r.on_votes > 1 and self.now >= max(starts) + 3 * SETTLE
+        elif self.phase == TRIAL and self.votes_on and starts:
+            # Balancers with little traffic must not hold up the others where several have to agree.
+            quiet = self.agree and self.now >= max(starts) + 3 * SETTLE
+            enough = quiet or sum(n for n, _, _ in wrong) >= self.need[self.stage]
             fine = all(d < ON_MARGIN for _, d, _ in wrong) and all(d < SLOW_MARGIN for _, d, _ in slow)
-            if self.now >= max(starts) + SETTLE and fine and self.now >= self.slowed_at + SETTLE and (total >= self.need[self.stage] or quiet):
+            if enough and fine and self.now >= max(*starts, self.slowed_at) + SETTLE:
                 verdict = ON
+        self.vote_due = self.now + 2 * SWEEP
         if verdict:
             self.out.vote(self.stage, self.ver, verdict)
             if (verdict, self.ver, self.stage) != self.voted:
-                self.out.log(f"{'back' if verdict == BACK else 'on'} build {self.ver} stage {self.stage}: " + " ".join(
-                    f"{n}/{d:.2f}/{low:.2f}" for n, d, low in wrong + slow))
+                self.out.log(f"{'back' if verdict == BACK else 'on'} build {self.ver} stage {self.stage}: "
+                             + " ".join(f"{n:.0f}/{d:.2f}/{low:.2f}" for n, d, low in wrong + slow + hard))
             self.voted, self.vote_at = (verdict, self.ver, self.stage), self.now
-            self.vote_due = self.now + r.answer_wait + 50
-        else:
-            self.vote_due = self.now + 2 * SWEEP
+            self.vote_due = self.now + self.answer_wait
