--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -73,7 +73,7 @@
         self.seen = {}              # (build, operation) -> deque of (time, group, went wrong)
         self.answered = {}          # key -> build that answered it
         self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
-        self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, 0.0, [], 0.0
+        self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, -1e9, [], 0.0
         self.pools = ([], [])
         self.good, self.good_before, self.released_at, self.slowed_at = deque(maxlen=1000), 0, 0.0, -1e9
         self.rate, self.fair_rate, self.rate_before, self.before = 0.0, 0.0, 0.0, []
@@ -132,7 +132,8 @@
             since = self.now - 20000
             self.before = [sorted(k[3] for (_, o), kept in self.seen.items() if o == op for k in kept
                                   if k[3] and k[0] > since) for op in range(len(self.ops))]
-            self.rate_before = self.rate
+            # A fleet already crowded before the offer is no yardstick: its slowness is not the build.
+            self.rate_before = self.rate if self.cut_at < self.now - 10000 else 0.0
             self.seen = {k: v for k, v in self.seen.items() if k[0] >= ver - 2}
         self.ver, self.stage, self.cap, self.phase, self.told = ver, stage, cap, phase, True
         self.sort_pools()
@@ -404,7 +405,7 @@
         fresh += [2.0 for inv in self.invs.values()
                   if since < inv.taken < self.now - self.ops[inv.op].slo_time]
         fresh.sort()
-        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.7:
+        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.5:
             self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
         elif len(self.invs) > 0.5 * self.limit:
             self.limit = self.limit * 1.01 + 0.05
