--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -405,7 +405,7 @@
         fresh += [2.0 for inv in self.invs.values()
                   if since < inv.taken < self.now - self.ops[inv.op].slo_time]
         fresh.sort()
-        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.5:
+        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.9:
             self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
         elif len(self.invs) > 0.5 * self.limit:
             self.limit = self.limit * 1.01 + 0.05
