--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -72,7 +72,7 @@
         self.arrivals, self.answers = deque(maxlen=1000), deque(maxlen=1000)
         self.seen = {}              # (build, operation) -> deque of (time, group, went wrong)
         self.answered = {}          # key -> build that answered it
-        self.voted, self.vote_at, self.vote_due = None, 0.0, 0.0
+        self.voted, self.vote_at, self.vote_due, self.staged_at = None, 0.0, 0.0, 0.0
         self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, -1e9, [], 0.0
         self.pools = ([], [])
         self.good, self.good_before, self.released_at, self.slowed_at = deque(maxlen=1000), 0, 0.0, -1e9
@@ -127,7 +127,7 @@
         if phase == RELEASED and self.phase == TRIAL and ver == self.ver:
             self.released_at, self.good_before = self.now, sum(1 for t in self.good if t > self.now - COUNT)
         if (ver, stage, phase) != (self.ver, self.stage, self.phase):
-            self.vote_due = self.now
+            self.vote_due = self.staged_at = self.now
         if ver != self.ver:
             since = self.now - 20000
             self.before = [sorted(k[3] for (_, o), kept in self.seen.items() if o == op for k in kept
@@ -405,7 +405,7 @@
         fresh += [2.0 for inv in self.invs.values()
                   if since < inv.taken < self.now - self.ops[inv.op].slo_time]
         fresh.sort()
-        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.9:
+        if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.8:
             self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
         elif len(self.invs) > 0.5 * self.limit:
             self.limit = self.limit * 1.01 + 0.05
@@ -468,7 +468,10 @@
             slow.append(self.compare(*([
                 (g, took > mark, w) for _, g, _, took, w in kept if took] for kept in (met, base))))
             # Not resets: a broken link after the release looks the same whichever build runs.
-            hard.append(self.compare(*([(k[1], k[2] == ERROR, 1) for k in kept] for kept in (new, old))))
+            # Since the last stage only: clean outcomes from when its servers were idle must not hide what a
+            # build does when busy, or old enough.
+            late = [k for k in new if k[0] > self.staged_at]
+            hard.append(self.compare(*([(k[1], k[2] == ERROR, 1) for k in kept] for kept in (late, old))))
         return wrong, slow, hard
 
     def slowed_all(self):
