--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -316,7 +316,8 @@
         tried[4] = status
         if server and server.build == tried[5] and sent is not None and status not in (MOOT, CANCELLED):
             server.recent.append((self.now, time_taken, status != SUCCEEDED))
-            if status in (SUCCEEDED, TIMEOUT):
+            # Shedding does not mend a sick server: its answers must not shrink the bound for all.
+            if status in (SUCCEEDED, TIMEOUT) and not server.suspect:
                 self.answers.append((tried[3], time_taken / op.slo_time))
             if status == SUCCEEDED and time_taken <= op.slo_time:
                 self.good.append(self.now)
@@ -403,7 +404,8 @@
         since = max(self.now - 2 * self.slo_mean, self.cut_at)      # what an earlier cut has already answered
         fresh = [x for t, x in self.answers if t > since]
         fresh += [2.0 for inv in self.invs.values()
-                  if since < inv.taken < self.now - self.ops[inv.op].slo_time]
+                  if since < inv.taken < self.now - self.ops[inv.op].slo_time
+                  and not self.servers[inv.tries[-1][0]].suspect]
         fresh.sort()
         if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.8:
             self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
