--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -171,8 +171,9 @@
         queue = server.load.get("queue", 0.0)
         pace += (self.typical or pace) * (0.4 * len(server.flying) + 0.33 * queue)
         late = exp(-op.slo_time / pace)
-        return (server.fail + (1 - server.fail) * late + 0.05 * pace / op.slo_time
-                + (self.cross_price if server.zone != self.zone else 0.0))
+        # Against a home zone that fills up under a proxy grown hot: shedding costs more than crossing does.
+        far = server.zone != self.zone and self.now > self.cut_at + COUNT
+        return server.fail + (1 - server.fail) * late + 0.05 * pace / op.slo_time + far * self.cross_price
 
     def choose(self, pool, op, inv):
         """Two random choices inside the build, by size; two more from home where crossing is priced."""
@@ -316,8 +317,7 @@
         tried[4] = status
         if server and server.build == tried[5] and sent is not None and status not in (MOOT, CANCELLED):
             server.recent.append((self.now, time_taken, status != SUCCEEDED))
-            # Shedding does not mend a sick server: its answers must not shrink the bound for all.
-            if status in (SUCCEEDED, TIMEOUT) and not server.suspect:
+            if status in (SUCCEEDED, TIMEOUT):
                 self.answers.append((tried[3], time_taken / op.slo_time))
             if status == SUCCEEDED and time_taken <= op.slo_time:
                 self.good.append(self.now)
@@ -404,8 +404,7 @@
         since = max(self.now - 2 * self.slo_mean, self.cut_at)      # what an earlier cut has already answered
         fresh = [x for t, x in self.answers if t > since]
         fresh += [2.0 for inv in self.invs.values()
-                  if since < inv.taken < self.now - self.ops[inv.op].slo_time
-                  and not self.servers[inv.tries[-1][0]].suspect]
+                  if since < inv.taken < self.now - self.ops[inv.op].slo_time]
         fresh.sort()
         if len(fresh) >= 8 and fresh[int(0.8 * len(fresh))] > 0.8:
             self.limit, self.cut_at = max(4.0, 0.8 * min(self.limit, len(self.invs) + 1)), self.now
