--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -171,9 +171,8 @@
         queue = server.load.get("queue", 0.0)
         pace += (self.typical or pace) * (0.4 * len(server.flying) + 0.33 * queue)
         late = exp(-op.slo_time / pace)
-        # Against a home zone that fills up under a proxy grown hot: shedding costs more than crossing does.
-        far = server.zone != self.zone and self.now > self.cut_at + COUNT
-        return server.fail + (1 - server.fail) * late + 0.05 * pace / op.slo_time + far * self.cross_price
+        return (server.fail + (1 - server.fail) * late + 0.05 * pace / op.slo_time
+                + (self.cross_price if server.zone != self.zone else 0.0))
 
     def choose(self, pool, op, inv):
         """Two random choices inside the build, by size; two more from home where crossing is priced."""
@@ -490,13 +489,15 @@
         return size >= 8 and slow / size > 0.2 + SLOW_MARGIN
 
     def collapsed(self):
-        """After the release nothing is left to compare with but before: under half of the answers in time
-        that there were as it came, and most of what is asked unanswered. Against builds that are bad only
-        under all of the traffic; a fleet half of which fails at that moment would look the same."""
-        if self.phase != RELEASED or self.now < self.released_at + 2 * COUNT:
+        """After the release nothing is left to compare with but before: for two counts on end under two
+        fifths of the answers in time that there were as it came, and most of what is asked unanswered.
+        Against builds that are bad only under all of the traffic; twice as long and deep as the slowdowns
+        of all servers seen so far, which would look the same."""
+        if self.phase != RELEASED or self.now < self.released_at + 3 * COUNT or self.good_before < LEAST:
             return False
-        good = sum(1 for t in self.good if t > self.now - COUNT)
-        return self.good_before >= LEAST and good < 0.5 * self.good_before and good < 0.4 * len(self.arrivals)
+        good = [sum(1 for t in self.good if since < t - self.now + 2 * COUNT <= since + COUNT)
+                for since in (0, COUNT)]
+        return max(good) < 0.4 * self.good_before and good[1] < 0.3 * len(self.arrivals)
 
     def judge(self):
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
