--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -287,7 +287,8 @@
         op, ran = self.ops[inv.op], any(t[4] not in NEVER_RAN for t in inv.tries)
         self.invs.pop(ident, None)
         if not ran or op.effect == IDEMPOTENT or (op.effect == FINGERPRINTED and op.group == "all"):
-            self.out.throttle(ident, self.retry_advice * (0.5 + 0.5 * self.chance()))
+            # Soon enough that the next try can still be answered in time, unevenly against a second wave.
+            self.out.throttle(ident, min(self.retry_advice, op.slo_time / 2) * (0.3 + 0.7 * self.chance()))
         else:
             self.out.terminate(ident)
         self.drop_rest(ident, inv)
