--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -442,17 +442,17 @@
         return real, mean, max(jack, guess * (1 - guess) / real)
 
     def compare(self, new, old):
-        """New outcomes, difference seen (one bad outcome forgiven), lower end of the interval."""
+        """New outcomes, difference seen (one bad outcome forgiven), lower end of the interval, standard error."""
         if not new or not old:
-            return len(new), 0.0, -1.0
+            return len(new), 0.0, -1.0, 0.0
         (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
         low = mean - base - self.width * sqrt(v + w) if n >= LEAST <= m else -1.0
-        return n, mean - base - 1 / n, low
+        return n, mean - base - 1 / n, low, sqrt(v + w)
 
     def evidence(self):
         """Per operation, three marks: failed or late, slower than four fifths of the earlier build's answers,
         and (all that is left once the earlier machines have gone) failed outright."""
-        wrong, slow, hard = [], [], []
+        wrong, slow, hard, failed = [], [], [], []
         for op, facts in enumerate(self.ops):
             new = self.seen.get((self.ver, op), ())
             old = [k for (b, o), kept in self.seen.items() if o == op and b < self.ver for k in kept]
@@ -473,7 +473,9 @@
             # build does when busy, or old enough.
             late = [k for k in new if k[0] > self.staged_at]
             hard.append(self.compare(*([(k[1], k[2] == ERROR, 1) for k in kept] for kept in (late, old))))
-        return wrong, slow, hard
+            failed.append(self.compare(*([
+                (g, status in (ERROR, RESET), w) for _, g, status, _, w in kept] for kept in (met, base))))
+        return wrong, slow, hard, failed
 
     def slowed_all(self):
         """Old and new slow alike: no difference shows, so the earlier build is held against itself before
@@ -503,18 +505,22 @@
     def judge(self):
         if self.now < self.vote_due or not self.told or self.phase not in (TRIAL, RELEASED):
             return
-        wrong, slow, hard = self.evidence()
+        wrong, slow, hard, failed = self.evidence()
         if self.phase == TRIAL and self.slowed_all():
             self.slowed_at = self.now
         verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
-        if (any(low > BACK_MARGIN for _, _, low in wrong + hard)
-                or any(low > SLOW_MARGIN for _, _, low in slow) or self.collapsed()):
+        if (any(row[2] > BACK_MARGIN for row in wrong + hard)
+                or any(row[2] > SLOW_MARGIN for row in slow) or self.collapsed()):
             verdict = BACK
         elif self.phase == TRIAL and self.votes_on and starts:
             # Balancers with little traffic must not hold up the others where several have to agree.
             quiet = self.agree and self.now >= max(starts) + 3 * SETTLE
-            enough = quiet or sum(n for n, _, _ in wrong) >= self.need[self.stage]
-            fine = all(d < ON_MARGIN for _, d, _ in wrong) and all(d < SLOW_MARGIN for _, d, _ in slow)
+            enough = quiet or sum(row[0] for row in wrong) >= self.need[self.stage]
+            # Failures count as seen. Late and slow answers are common: a few in one burst must not hold a
+            # good build up for the day, so their difference has to exceed its margin by its own error.
+            fine = (all(d < ON_MARGIN for _, d, _, _ in failed)
+                    and all(d - error < ON_MARGIN for _, d, _, error in wrong)
+                    and all(d - error < SLOW_MARGIN for _, d, _, error in slow))
             if enough and fine and self.now >= max(*starts, self.slowed_at) + SETTLE:
                 verdict = ON
         self.vote_due = self.now + 2 * SWEEP
@@ -522,6 +528,6 @@
             self.out.vote(self.stage, self.ver, verdict)
             if (verdict, self.ver, self.stage) != self.voted:
                 self.out.log(f"{'back' if verdict == BACK else 'on'} build {self.ver} stage {self.stage}: "
-                             + " ".join(f"{n:.0f}/{d:.2f}/{low:.2f}" for n, d, low in wrong + slow + hard))
+                             + " ".join(f"{n:.0f}/{d:.2f}/{low:.2f}" for n, d, low, _ in wrong + slow + hard))
             self.voted, self.vote_at = (verdict, self.ver, self.stage), self.now
             self.vote_due = self.now + self.answer_wait
