--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -14,7 +14,7 @@
     BACK, CANCELLED, ERROR, FINGERPRINTED, FULL, GONE, IDEMPOTENT, MOOT, ON, READY, RELEASED, RESET,
     SIDE_EFFECTING, SUCCEEDED, TIMEOUT, TRIAL, UNCONNECTED)
 
-NEVER_RAN = (FULL, UNCONNECTED, MOOT)
+NEVER_RAN, BROKEN = (FULL, UNCONNECTED, MOOT), (ERROR, RESET)
 GROUPS = 10                 # the paper's R
 LEAST = 20                  # outcomes per build before any vote
 BACK_MARGIN, ON_MARGIN = 0.03, 0.05
@@ -442,7 +442,7 @@
         return real, mean, max(jack, guess * (1 - guess) / real)
 
     def compare(self, new, old):
-        """New outcomes, difference seen (one bad outcome forgiven), lower end of the interval, standard error."""
+        """New outcomes, difference (one bad outcome forgiven), lower end of the interval, standard error."""
         if not new or not old:
             return len(new), 0.0, -1.0, 0.0
         (n, mean, v), (m, base, w) = self.spread(new), self.spread(old)
@@ -463,18 +463,14 @@
             base = [(*k, news[k[0] // 2000] / olds[k[0] // 2000]) for k in old if k[0] // 2000 in news]
             times = sorted(k[3] for k in base if k[3])
             mark = times[int(0.8 * len(times))] if times else 0.0
-            wrong.append(self.compare(*([
-                (g, status in (ERROR, RESET) or (took or 0) > 0.9 * facts.slo_time, w)
-                for _, g, status, took, w in kept] for kept in (met, base))))
-            slow.append(self.compare(*([
-                (g, took > mark, w) for _, g, _, took, w in kept if took] for kept in (met, base))))
-            # Not resets: a broken link after the release looks the same whichever build runs.
-            # Since the last stage only: clean outcomes from when its servers were idle must not hide what a
-            # build does when busy, or old enough.
-            late = [k for k in new if k[0] > self.staged_at]
-            hard.append(self.compare(*([(k[1], k[2] == ERROR, 1) for k in kept] for kept in (late, old))))
-            failed.append(self.compare(*([
-                (g, status in (ERROR, RESET), w) for _, g, status, _, w in kept] for kept in (met, base))))
+            pair = lambda mark, *two: self.compare(*([(k[1], mark(k), k[4]) for k in kept] for kept in two))
+            wrong.append(pair(lambda k: k[2] in BROKEN or (k[3] or 0) > 0.9 * facts.slo_time, met, base))
+            failed.append(pair(lambda k: k[2] in BROKEN, met, base))
+            slow.append(pair(lambda k: k[3] > mark, *([k for k in kept if k[3]] for kept in (met, base))))
+            # Not resets: a broken link after the release looks the same whichever build runs. And since the
+            # last stage only: clean outcomes from idle servers must not hide what a build does when busy.
+            hard.append(pair(lambda k: k[2] == ERROR, [(*k, 1) for k in new if k[0] > self.staged_at],
+                             [(*k, 1) for k in old]))
         return wrong, slow, hard, failed
 
     def slowed_all(self):
