--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -17,8 +17,7 @@
 NEVER_RAN, BROKEN = (FULL, UNCONNECTED, MOOT), (ERROR, RESET)
 GROUPS = 10                 # the paper's R
 LEAST = 20                  # outcomes per build before any vote
-BACK_MARGIN, ON_MARGIN = 0.03, 0.05
-SLOW_MARGIN = 0.15
+BACK_MARGIN, ON_MARGIN, SLOW_MARGIN = 0.03, 0.05, 0.15
 YOUTH = 5000.0              # a younger server's times are not its build's
 SETTLE = 3000.0             # after the newest start, before 'on'
 MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
@@ -505,8 +504,10 @@
         if self.phase == TRIAL and self.slowed_all():
             self.slowed_at = self.now
         verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
-        if (any(row[2] > BACK_MARGIN for row in wrong + hard)
-                or any(row[2] > SLOW_MARGIN for row in slow) or self.collapsed()):
+        # After a release the last few answers of draining machines are no fair sample to be late or slow by.
+        matched = self.phase == TRIAL and (any(row[2] > BACK_MARGIN for row in wrong)
+                                           or any(row[2] > SLOW_MARGIN for row in slow))
+        if matched or any(row[2] > BACK_MARGIN for row in hard) or self.collapsed():
             verdict = BACK
         elif self.phase == TRIAL and self.votes_on and starts:
             # Balancers with little traffic must not hold up the others where several have to agree.
