--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -514,10 +514,11 @@
             quiet = self.agree and self.now >= max(starts) + 3 * SETTLE
             enough = quiet or sum(row[0] for row in wrong) >= self.need[self.stage]
             # Failures count as seen. Late and slow answers are common: a few in one burst must not hold a
-            # good build up for the day, so their difference has to exceed its margin by its own error.
+            # good build up, so their difference is forgiven its error, the less the more is handed over.
+            spare = 1 - self.need[self.stage] / (2 * LEAST)
             fine = (all(d < ON_MARGIN for _, d, _, _ in failed)
-                    and all(d - error < ON_MARGIN for _, d, _, error in wrong)
-                    and all(d - error < SLOW_MARGIN for _, d, _, error in slow))
+                    and all(d - spare * error < ON_MARGIN for _, d, _, error in wrong)
+                    and all(d - spare * error < SLOW_MARGIN for _, d, _, error in slow))
             if enough and fine and self.now >= max(*starts, self.slowed_at) + SETTLE:
                 verdict = ON
         self.vote_due = self.now + 2 * SWEEP
