--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -17,7 +17,8 @@
 NEVER_RAN, BROKEN = (FULL, UNCONNECTED, MOOT), (ERROR, RESET)
 GROUPS = 10                 # the paper's R
 LEAST = 20                  # outcomes per build before any vote
-BACK_MARGIN, ON_MARGIN, SLOW_MARGIN = 0.03, 0.05, 0.15
+# Slow has wider ones: a good build on a few slower machines, in a burst, went back at 0.15.
+BACK_MARGIN, ON_MARGIN, SLOW_BACK, SLOW_ON = 0.03, 0.05, 0.25, 0.2
 YOUTH = 5000.0              # a younger server's times are not its build's
 SETTLE = 3000.0             # after the newest start, before 'on'
 MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
@@ -64,7 +65,7 @@
         # The least sample grows with the share of machines that an 'on' would hand over.
         self.need = [2 * LEAST * share for share in r.machine_shares[1:]] + [2 * LEAST]
         self.slo_mean = sum(o.slo_time for o in self.ops) / len(self.ops)
-        self.servers, self.invs = {}, {}
+        self.servers, self.invs, self.pools = {}, {}, ([], [])
         self.ver, self.stage, self.cap, self.phase, self.told = None, 0, 0.0, None, False
         self.taken = deque()        # (time, operation) within the exposure window
         self.at_trial = {}          # build -> deque of (time, operation) dispatched there
@@ -73,7 +74,6 @@
         self.answered = {}          # key -> build that answered it
         self.voted, self.vote_at, self.vote_due, self.staged_at = None, 0.0, 0.0, 0.0
         self.typical, self.limit, self.cut_at, self.worths, self.sweep_at = None, 1e9, -1e9, [], 0.0
-        self.pools = ([], [])
         self.good, self.good_before, self.released_at, self.slowed_at = deque(maxlen=1000), 0, 0.0, -1e9
         self.rate, self.fair_rate, self.rate_before, self.before = 0.0, 0.0, 0.0, []
         self.over = {}             # tenant -> beyond its share
@@ -318,8 +318,8 @@
             server.recent.append((self.now, time_taken, status != SUCCEEDED))
             if status in (SUCCEEDED, TIMEOUT):
                 self.answers.append((tried[3], time_taken / op.slo_time))
-            if status == SUCCEEDED and time_taken <= op.slo_time:
-                self.good.append(self.now)
+                if status == SUCCEEDED and time_taken <= op.slo_time:
+                    self.good.append(self.now)
             if status in (SUCCEEDED, ERROR, RESET) or (status == TIMEOUT and time_taken > 0.9 * op.slo_time):
                 # A young server is slow whatever it runs: its times say nothing, its errors do.
                 young = server.launched and self.now - server.launched < YOUTH
@@ -484,7 +484,7 @@
                 took = [k[3] for (b, o), kept in self.seen.items() if o == op and b < self.ver for k in kept
                         if k[3] and k[0] > self.now - 4000]
                 size, slow = size + len(took), slow + sum(1 for t in took if t > times[int(0.8 * len(times))])
-        return size >= 8 and slow / size > 0.2 + SLOW_MARGIN
+        return size >= 8 and slow / size > 0.2 + 0.15
 
     def collapsed(self):
         """After the release nothing is left to compare with but before: for two counts on end under two
@@ -506,7 +506,7 @@
         verdict, starts = None, [s.launched for _, s in self.pools[1] if s.build == self.ver]
         # After a release the last few answers of draining machines are no fair sample to be late or slow by.
         matched = self.phase == TRIAL and (any(row[2] > BACK_MARGIN for row in wrong)
-                                           or any(row[2] > SLOW_MARGIN for row in slow))
+                                           or any(row[2] > SLOW_BACK for row in slow))
         if matched or any(row[2] > BACK_MARGIN for row in hard) or self.collapsed():
             verdict = BACK
         elif self.phase == TRIAL and self.votes_on and starts:
@@ -518,7 +518,7 @@
             spare = 1 - self.need[self.stage] / (2 * LEAST)
             fine = (all(d < ON_MARGIN for _, d, _, _ in failed)
                     and all(d - spare * error < ON_MARGIN for _, d, _, error in wrong)
-                    and all(d - spare * error < SLOW_MARGIN for _, d, _, error in slow))
+                    and all(d - spare * error < SLOW_ON for _, d, _, error in slow))
             if enough and fine and self.now >= max(*starts, self.slowed_at) + SETTLE:
                 verdict = ON
         self.vote_due = self.now + 2 * SWEEP
