Exposure windows and arrivals are counted as they come and go

Cause: the exposure windows were recounted at each dispatch and the intake scanned at each crowded one, so the cost of an invocation grew with the rate.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -5,7 +5,7 @@
 """
 from bisect import bisect_right
 from collections import Counter, deque
-from itertools import accumulate
+from itertools import accumulate, takewhile
 from math import exp, log, log2, sqrt
 from statistics import NormalDist
 from zlib import crc32
@@ -37,7 +37,8 @@
 
     def health(self, now, usual, failing=0.0):
         fresh = [x for x in self.recent if x[0] > now - MEMORY]
-        times = [x[1] for x in fresh if x[1]] + [now - t for t in self.flying.values() if now - t > 2 * usual]
+        old = takewhile(lambda t: now - t > 2 * usual, self.flying.values())    # in the order they were sent
+        times = [x[1] for x in fresh if x[1]] + [now - t for t in old]
         return ((2 * usual + sum(times)) / (2 + len(times)),
                 (2 * failing + sum(x[2] for x in fresh)) / (2 + len(fresh)))
 
@@ -50,6 +51,22 @@
         self.size = self.draws[0][1][-1] if picks else 0.0
 
 
+class Window:   # what came within a span, counted as it comes and goes: a dispatch must not cost a recount
+    def __init__(self, span, most=None):
+        self.span, self.most, self.kept, self.counts = span, most, deque(), Counter()
+
+    def add(self, now, what):
+        if len(self.kept) == self.most:
+            self.counts[self.kept.popleft()[1]] -= 1
+        self.kept.append((now, what))
+        self.counts[what] += 1
+
+    def trim(self, now):
+        while self.kept and self.kept[0][0] <= now - self.span:
+            self.counts[self.kept.popleft()[1]] -= 1
+        return self
+
+
 class Invocation:
     def __init__(self, op, tenant, key, taken, deadline):
         self.op, self.tenant, self.key, self.taken, self.deadline = op, tenant, key, taken, deadline
@@ -66,7 +83,7 @@
         self.cross_price, self.cold_share, self.warm_within, self.overload_for, self.dispatch_cap = (
             site.cross_zone_price, site.cold_share, site.warm_within, site.overload_for, site.dispatch_cap)
         # Dispatches are counted over slightly more than the exposure window, intake over slightly less.
-        self.made_for, self.took_for = r.window + 2 * site.tick, r.window - 2 * site.tick
+        self.made_for, self.taken = r.window + 2 * site.tick, Window(r.window - 2 * site.tick)
         self.free, self.first_cap, self.guarded = r.free, r.caps[0], r.guarded
         self.by_operation, self.no_return = r.by_operation, r.no_return
         self.renew_after, self.answer_wait = 0.6 * r.vote_life, r.answer_wait + 50
@@ -95,9 +112,9 @@
         self.slo_mean = sum(o.slo_time for o in self.ops) / ops
         self.servers, self.invs, self.pools = {}, {}, (Pool([], None, 0),) * 2
         self.ver, self.stage, self.cap, self.phase, self.told = None, 0, 0.0, None, False
-        # (time, operation) taken; build -> those dispatched there; key -> build that answered it
-        self.taken, self.at_trial, self.answered = deque(), {}, {}
-        self.arrivals, self.answers, self.good = (deque(maxlen=1000) for _ in range(3))
+        # build -> operations dispatched there, as those taken; key -> build that answered it
+        self.at_trial, self.answered = {}, {}
+        self.arrivals, self.answers, self.good = Window(COUNT, 1000), deque(maxlen=1000), deque(maxlen=1000)
         self.times, self.typical, self.zones = deque(maxlen=64), None, {}
         self.means = [deque(maxlen=6) for _ in self.ops]    # (time, mean time taken) by operation
         self.seen, self.tallied = {}, {}    # (build, operation) -> deque of (time, group, status, time taken)
@@ -227,8 +244,8 @@
 
     def invocation(self, ident, key, op, tenant, left):
         inv = self.invs[ident] = Invocation(op, tenant, key, self.now, self.now + left)
-        self.taken.append((self.now, op))
-        self.arrivals.append((self.now, op, tenant))
+        self.taken.add(self.now, op)
+        self.arrivals.add(self.now, (op, tenant))
         # A tenth of an operation that is held off goes on, to see when it is well again.
         held_off = self.crowded(inv) or self.stuck(op) and self.chance() > 0.1
         if held_off or not self.propose(ident, inv, self.chance() < self.trial_share):
@@ -266,10 +283,9 @@
         stage, cap = (self.stage, self.cap) if self.told and build == self.ver else (0, self.first_cap)
         if cap <= 0 or (stage < self.guarded and self.ops[op].effect != IDEMPOTENT):
             return False
-        count = lambda kept, span: sum(
-            1 for t, o in kept if t > self.now - span and (o == op or not self.by_operation))
-        made = count(self.at_trial.get(build, ()), self.made_for)
-        return made + 1 <= self.free + cap * count(self.taken, self.took_for)
+        made, took = self.at_trial.get(build), self.taken.trim(self.now)
+        count = lambda kept: kept.counts[op] if self.by_operation else len(kept.kept)
+        return (count(made.trim(self.now)) if made else 0) + 1 <= self.free + cap * count(took)
 
     def cold_room(self, server):
         """A cold server falls to what all proxies send together: each keeps to its fair part of its ramp."""
@@ -289,7 +305,7 @@
         if server.since and self.now - server.since < self.warm_within:
             server.sent.append(self.now)
         if self.on_trial(server.build):
-            self.at_trial.setdefault(server.build, deque()).append((self.now, inv.op))
+            self.at_trial.setdefault(server.build, Window(self.made_for)).add(self.now, inv.op)
         # An answer past the SLO time that earns nothing is not worth a server's work.
         end = inv.deadline if op.late_value else min(inv.deadline, inv.taken + op.slo_time)
         self.out.dispatch(ident, addr, max(self.tick, end - self.now))
@@ -355,12 +371,12 @@
         self.proof_due = self.proof_due or build == self.ver
 
     def sweep(self):
-        made = [(kept, self.made_for + self.tick) for kept in (self.taken, *self.at_trial.values())]
-        for kept, span in (*made, (self.arrivals, COUNT), (self.answers, 4 * self.slo_mean)):
-            while kept and kept[0][0] < self.now - span:
-                kept.popleft()
-        span = self.now - self.arrivals[0][0] if self.arrivals else 0.0
-        self.rate = len(self.arrivals) / max(span, 1000.0)
+        for kept in (self.taken, *self.at_trial.values(), self.arrivals):
+            kept.trim(self.now)
+        while self.answers and self.answers[0][0] < self.now - 4 * self.slo_mean:
+            self.answers.popleft()
+        span = self.now - self.arrivals.kept[0][0] if self.arrivals.kept else 0.0
+        self.rate = len(self.arrivals.kept) / max(span, 1000.0)
         if self.now >= self.weigh_at:
             self.sort_pools()
         for ident in [i for i, inv in self.invs.items() if self.now >= inv.deadline]:
@@ -422,11 +438,13 @@
     def crowded(self, inv):
         if len(self.invs) + 1 <= 0.6 * self.limit:
             return False    # the least worth gives way first: it may fill only so much of the limit
-        count, total = Counter(tenant for _, _, tenant in self.arrivals), 1.3 * len(self.arrivals)
-        over = {t for t, (part, _) in enumerate(self.tenants) if count[t] > total * part}
+        came, seen, count = self.arrivals.counts, len(self.arrivals.kept), Counter()
+        for (_, tenant), n in came.items():
+            count[tenant] += n
+        over = {t for t, (part, _) in enumerate(self.tenants) if count[t] > 1.3 * seen * part}
         worth = lambda op, tenant: self.ops[op].billed_value * (self.over_value if tenant in over else 1.0)
         mine = worth(inv.op, inv.tenant)
-        below = sum(worth(op, tenant) < mine for _, op, tenant in self.arrivals) / len(self.arrivals)
+        below = sum(n for pair, n in came.items() if worth(*pair) < mine) / seen
         return len(self.invs) + self.chance() * (self.limit < 4) > self.limit * (0.6 + 0.4 * below)
 
     def spread(self, kept, usual=None):
@@ -496,7 +514,7 @@
         if self.phase != RELEASED or self.now < self.released_at + 3 * COUNT or self.good_before < self.much:
             return False
         first, last = (sum(a < t - self.now <= a + COUNT for t in self.good) for a in (-2 * COUNT, -COUNT))
-        return max(first, last) < 0.4 * self.good_before and last < 0.3 * len(self.arrivals)
+        return max(first, last) < 0.4 * self.good_before and last < 0.3 * len(self.arrivals.kept)
 
     def judge(self):
         if self.now < self.vote_due or self.phase not in (TRIAL, RELEASED):
