--- /dev/null
+++ b/gannetfront/cli/audit.py
@@ -0,0 +1,70 @@
+"""gannet-audit: judges the five rules from records of what crossed the sockets."""
+import json
+from collections import Counter
+
+import click
+
+from .. import records
+from ..audit.rules import Judge, service
+from ..config import schema_pb2 as schema
+from .common import settings
+
+RULES = {"answered": "one final answer in time", "effects": "no effect twice", "drains": "nothing new after a drain",
+         "cold": "no cold node pushed over", "exposure": "exposure within the cap"}
+
+
+def judge(folder, grace=20.0, slack=60.0):
+    """(verdict, facts) of a day's folder."""
+    fleet = settings(schema.Fleet, f"{folder}/fleet.textproto")
+    tables = {name: records.read(folder, name) for name in records.TABLES}
+    one = Judge(fleet, *(tables[n] for n in ("tries", "dispatches", "nodes", "told", "events")), grace, slack)
+    builds = Counter((d["build"], d["outcome"]) for d in tables["dispatches"])
+    ends = Counter((t["operation"], t["answer"]) for t in tables["tries"])
+    phases = {}
+    for row in sorted(tables["told"], key=lambda r: r["at"]):
+        if row["kind"] == "stage":
+            phases[row["build"]] = row["phase"]
+    facts = dict(
+        service=round(service(fleet, tables["tries"]), 4), tries=len(tables["tries"]),
+        dispatches=len(tables["dispatches"]), toppled=sum(n["what"] == "toppled" for n in tables["nodes"]),
+        ends={f"{op} {answer}": n for (op, answer), n in sorted(ends.items())},
+        builds={str(b): {o: n for (x, o), n in sorted(builds.items()) if x == b} for b in sorted({b for b, _ in builds})},
+        phases={str(b): ("trial", "going back", "released", "withdrawn")[p] for b, p in sorted(phases.items())})
+    return one.verdict(), facts
+
+
+def report(verdict, facts, most=5):
+    """(lines, exit status)."""
+    lines, broken, thin = [], 0, []
+    for n, (name, (checked, stories)) in enumerate(verdict.items(), 1):
+        broken += bool(stories)
+        thin += [] if checked else [name]
+        lines.append(f"{n} {RULES[name]}: {checked} checked, {len(stories)} broken")
+        lines += [f"    {story}" for story in stories[:most]]
+    lines.append(f"service {facts['service']:.3f}; {facts['tries']} tries, {facts['dispatches']} dispatches, "
+                 f"{facts['toppled']} nodes fell over")
+    for build, outcomes in facts["builds"].items():
+        lines.append(f"build {build} ({facts['phases'].get(build, 'at rest')}): "
+                     + ", ".join(f"{o} {n}" for o, n in outcomes.items()))
+    lines.append(f"rules kept {len(verdict) - broken}/5" + (f"; too thin to judge: {', '.join(thin)}" if thin else ""))
+    return lines, 1 if broken else 2 if thin else 0
+
+
+@click.command()
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@click.option("--json", "as_json", is_flag=True)
+@click.option("--slack", default=60.0, show_default=True, help="ms that a dispatch may be on its way")
+@click.option("--most", default=5, show_default=True, help="breaches of a rule told in full")
+def main(folder, as_json, slack, most):
+    """Judge the records in FOLDER: exit 0 kept, 1 broken, 2 too thin to judge."""
+    verdict, facts = judge(folder, slack=slack)
+    lines, status = report(verdict, facts, most)
+    if as_json:
+        click.echo(json.dumps(dict(facts, rules={n: dict(checked=c, broken=s) for n, (c, s) in verdict.items()})))
+    else:
+        click.echo("\n".join(lines))
+    raise SystemExit(status)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/gannetfront/cli/day.py
@@ -0,0 +1,41 @@
+"""gannet-day: plays a day script as real processes and has it judged."""
+import tempfile
+
+import click
+
+from ..config import load, schema_pb2 as schema
+from ..script import fleet_text
+from .audit import judge, report
+from .common import complain
+from .kitchen import day_of
+
+
+@click.command()
+@click.argument("script_file", type=click.Path(dir_okay=False))
+@click.option("--records", type=click.Path(file_okay=False), help="folder for the records (default: a new one)")
+@click.option("--check", is_flag=True, help="only say what it would do")
+def main(script_file, records, check):
+    """Play SCRIPT_FILE: start controller, nodes, proxies and clients, then judge the five rules."""
+    from ..day.play import Day, Failed
+    day = day_of(script_file)
+    try:
+        load.parse(schema.Fleet, fleet_text(day), f"{script_file} (as settings)")
+    except load.BadSetting as bad:
+        raise SystemExit(complain(str(bad)))
+    click.echo(f"{day.seconds:g} s, {day.fleet['nodes']} nodes, {day.proxies} proxies, {day.traffic['rate']:g} "
+               f"invocations a second ({day.load():.0%} of capacity), {len(day.troubles)} troubles, "
+               f"{len(day.offers)} builds offered")
+    if check:
+        return
+    records = records or tempfile.mkdtemp(prefix="gannet-day-")
+    try:
+        Day(day, script_file, records).play()
+    except Failed as trouble:
+        raise SystemExit(complain(f"{script_file}: {trouble}"))
+    lines, status = report(*judge(records))
+    click.echo("\n".join([f"records in {records}", *lines]))
+    raise SystemExit(status)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/gannetfront/day/play.py
@@ -0,0 +1,141 @@
+"""Plays a day script as real processes on loopback: controller, nodes, proxies, clients; kills proxies where told."""
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from .. import host
+from ..records import Table
+from ..script import fleet_text
+
+READY_LIMIT = 20000.0
+
+
+class Failed(Exception):
+    pass
+
+
+class Day:
+    def __init__(self, day, script_file, folder, env=None):
+        self.day, self.script, self.folder, self.env = day, str(script_file), Path(folder), env or {}
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.processes, self.proxies, self.sockets, self.stopped = {}, {}, {}, set()
+
+    def start(self, name, module, *words):
+        log = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = one = subprocess.Popen(
+            [sys.executable, "-m", f"gannetfront.cli.{module}", *map(str, words)], stdout=log, stderr=log,
+            stdin=subprocess.DEVNULL, env={**os.environ, **self.env})
+        log.close()
+        return one
+
+    def ready(self, name):
+        path, end = self.folder / f"{name}.ready", host.now() + READY_LIMIT
+        while host.now() < end:
+            data = host.read_file(path)
+            if data:
+                return data.decode()
+            if self.processes[name].poll() is not None:
+                break
+            host.sleep(20)
+        raise Failed(f"{name} did not start: {(self.folder / f'{name}.log').read_text()[-400:]}")
+
+    def play(self):
+        """Runs the whole day; the records lie in the folder afterwards."""
+        for old in [*self.folder.glob("*.arrow"), *self.folder.glob("*.ready"), *self.folder.glob("*.kept"),
+                    *self.folder.glob("*.log")]:
+            old.unlink()
+        self.events = Table(self.folder, "events", "day")
+        fleet = self.folder / "fleet.textproto"
+        fleet.write_text(fleet_text(self.day))
+        (self.folder / "controller.textproto").write_text('listen: "127.0.0.1:0"\n')
+        # Long enough for every process to be up; the same reading for all, as they share one clock.
+        begin = self.begin = host.now() + 2500 + 60 * self.day.proxies
+        facts = ("--records", self.folder, "--start", begin)
+        try:
+            self.start("release", "release", "run", fleet, self.folder / "controller.textproto", "--script", self.script,
+                       *facts, "--ready-file", self.folder / "release.ready")
+            self.control = self.ready("release")
+            self.start("kitchen", "kitchen", "run", self.script, "--control", self.control, *facts)
+            for n in range(self.day.proxies):
+                self.write_proxy(n, "127.0.0.1:0")
+                self.start_proxy(n)
+            for n in range(self.day.proxies):
+                self.proxies[n] = self.ready(f"proxy{n}")
+                self.note("proxy started", n)
+                self.write_proxy(n, self.proxies[n])    # a restart comes back where its clients know it
+            if host.now() > begin - 300:
+                raise Failed("the processes were not up when the day was to begin")
+            self.start("load", "load", self.script, *[self.proxies[n] for n in range(self.day.proxies)], *facts)
+            self.troubles()
+            limit = begin + self.day.seconds * 1000 + 30000
+            while self.processes["load"].poll() is None:
+                if host.now() > limit:
+                    raise Failed("the clients did not end")
+                host.sleep(50)
+            if self.processes["load"].returncode:
+                raise Failed(f"the clients could not ask all: {(self.folder / 'load.log').read_text()[-300:]}")
+            host.sleep(300)
+            self.alive()
+        finally:
+            self.stop()
+            self.events.close()
+
+    def alive(self):
+        for name, one in self.processes.items():
+            if name != "load" and one.poll() is not None and name not in self.stopped:
+                raise Failed(f"{name} ended by itself: {(self.folder / f'{name}.log').read_text()[-400:]}")
+
+    def write_proxy(self, n, listen):
+        (self.folder / f"proxy{n}.textproto").write_text(
+            f'me: {n}\nzone: "{self.day.zones[n % len(self.day.zones)]}"\nlisten: "{listen}"\n'
+            f'control: "{self.control}"\nstate_file: "{self.folder / f"proxy{n}.kept"}"\nseed: {self.day.seed * 1000 + n}\n')
+
+    def start_proxy(self, n):
+        self.start(f"proxy{n}", "proxy", "run", self.folder / "fleet.textproto", self.folder / f"proxy{n}.textproto",
+                   "--ready-file", self.folder / f"proxy{n}.ready")
+
+    def note(self, what, n):
+        self.events.add(host.now(), what, str(n), "")
+
+    # ---- proxies killed outright ----
+
+    def troubles(self):
+        for trouble in self.day.troubles:
+            if trouble.kind == "kill":
+                host.later(self.begin + trouble.at - host.now(), self.kill, trouble.proxy, trouble.until - trouble.at)
+            elif trouble.kind == "balancer_roll":
+                struck = sorted(self.day.struck(trouble, self.day.proxies))
+                step = (trouble.until - trouble.at) / max(1, len(struck))
+                for nth, n in enumerate(struck):
+                    host.later(self.begin + trouble.at + nth * step - host.now(), self.kill, n, 0.5 * step)
+
+    def kill(self, n, down):
+        name = f"proxy{n}"
+        self.stopped.add(name)
+        (self.folder / f"{name}.ready").unlink(missing_ok=True)
+        self.processes[name].send_signal(signal.SIGKILL)
+        self.note("proxy killed", n)
+        while self.processes[name].poll() is None:
+            host.sleep(5)
+        self.note("proxy killed", n)
+        host.sleep(down)
+        self.start_proxy(n)
+        self.ready(name)
+        self.note("proxy started", n)
+        self.stopped.discard(name)
+
+    def stop(self):
+        """Proxies first, so that what they still hold finds its nodes."""
+        for kind in ("proxy", "load", "kitchen", "release"):
+            some = [one for name, one in self.processes.items() if name.startswith(kind) and one.poll() is None]
+            for one in some:
+                one.send_signal(signal.SIGTERM)
+            end = host.now() + 8000
+            while any(one.poll() is None for one in some) and host.now() < end:
+                host.sleep(20)
+            for one in some:
+                if one.poll() is None:
+                    one.kill()
+                    one.wait()
--- /dev/null
+++ b/gannetfront/proxy/clients.py
@@ -0,0 +1,125 @@
+"""The client side of the proxy: requests read, held while the decisions work, answered once."""
+from .. import host
+from ..interface import SUCCEEDED
+from ..wire import http, invocation
+
+PIPELINED = 16      # requests read ahead on one connection; its reading then pauses
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+WRITE_LIMIT = 5000.0    # a client that does not read its answer for so long is cut off
+
+
+class Clients:
+    def __init__(self, rounds, operations, tenants, limits, margins, read_limit, idle_limit, inside, log):
+        """`operations` and `tenants` map names in bytes to an index, `limits` are bytes of header and body,
+        `margins[op]` is (time limit, margin) in ms; `inside(path)` answers what is asked of the proxy itself."""
+        self.rounds, self.operations, self.tenants, self.limits = rounds, operations, tenants, limits
+        self.margins, self.read_limit, self.idle_limit, self.inside = margins, read_limit, idle_limit, inside
+        self.log, self.stopping, self.open, self.busy = log, False, set(), set()
+
+    def handle(self, stream):
+        self.open.add(stream)
+        try:
+            self.converse(stream)
+        except (OSError, host.Late):
+            pass    # a client that broke off or does not read: nobody is there to be told
+        finally:
+            self.open.discard(stream)
+            self.busy.discard(stream)
+            stream.close()
+
+    def converse(self, stream):
+        reader, bad = http.RequestReader(*self.limits), None
+        came = host.now()
+        while True:
+            while not reader.ready and not bad:
+                self.busy.discard(stream)
+                try:
+                    # From its first byte on a request has one time in all: a byte a second keeps nothing open.
+                    left = came + self.read_limit - host.now() if reader.begun else self.idle_limit
+                    if left <= 0:
+                        raise host.Late()
+                    data = stream.recv(65536, left)
+                except host.Late:
+                    if reader.begun:
+                        stream.send(invocation.rejected(http.BadRequest(408, "the request was not whole in time")), 100)
+                    return
+                if not data:
+                    return
+                if not reader.begun:
+                    came = host.now()
+                bad = self.feed(reader, data)
+                self.busy.add(stream)
+                if reader.wants_continue and not bad:
+                    reader.wants_continue = False
+                    stream.send(CONTINUE, WRITE_LIMIT)
+            while reader.ready:
+                request = reader.ready.pop(0)
+                answer, keep, gone, worse = self.answer(stream, reader, request, came)
+                bad = bad or worse
+                if gone:
+                    return
+                stream.send(answer, WRITE_LIMIT)
+                if not keep:
+                    return
+            if bad:
+                stream.send(invocation.rejected(bad), WRITE_LIMIT)
+                return
+
+    @staticmethod
+    def feed(reader, data):
+        try:
+            reader.feed(data)
+        except http.BadRequest as bad:
+            return bad
+
+    def answer(self, stream, reader, request, came):
+        """(bytes, keep open, client gone, what was bad in bytes read meanwhile)."""
+        method, url, headers, body, keep = request
+        if url.startswith(b"/-/"):
+            return (*self.inside(url, keep), False, None)
+        keep = keep and not self.stopping
+        try:
+            op, tenant, key, mark, patience = invocation.asked(method, url, headers, self.operations, self.tenants)
+        except http.BadRequest as bad:
+            return invocation.rejected(bad), False, False, None
+        limit, margin = self.margins[op]
+        left = min(patience or limit, limit) - margin - (host.now() - came)
+        if self.stopping:
+            return invocation.throttled(0, False, b"throttled: this proxy is stopping\n"), False, False, None
+        held = self.rounds.take(op, tenant, key, max(0.0, left), url, headers, body)
+        if held is None:
+            return invocation.throttled(0, keep, b"throttled: too much is held here\n"), keep, False, None
+        gone, worse = self.wait(stream, reader, held, margin)
+        if gone:
+            return b"", False, True, None
+        kind, *facts = held.answer.value()
+        if kind == SUCCEEDED:
+            return invocation.succeeded(*facts, keep), keep, False, worse
+        if kind == "throttled":
+            return invocation.throttled(facts[0], keep), keep, False, worse
+        return invocation.terminated(facts[0], keep), keep, False, worse
+
+    def wait(self, stream, reader, held, margin):
+        """Until the answer stands. Reads on meanwhile: an end means that the client has gone."""
+        bad = None
+        while True:
+            left = held.deadline + margin / 2 - host.now()
+            try:
+                if bad or len(reader.ready) >= PIPELINED:
+                    held.answer.wait(left)
+                    return False, bad
+                data = stream.recv_or(held.answer, 65536, left)
+            except host.Late:
+                # Nothing decided in time, whatever the reason: the client must hear something while it listens.
+                self.log.error("answer overdue", inv=held.ident)
+                self.rounds.end(held, "terminated", True)
+                self.rounds.tell("client_gone", held.ident)
+                return False, bad
+            except OSError:
+                data = b""
+            if data is None:
+                return False, bad
+            if not data:
+                self.rounds.leave(held)
+                return True, bad
+            bad = self.feed(reader, data)
--- /dev/null
+++ b/gannetfront/proxy/links.py
@@ -0,0 +1,149 @@
+"""The proxy's two links: the control stream, which resumes, and datagrams to other proxies, which may be lost."""
+from .. import host
+from ..interface import ERROR, FULL, MOOT, SUCCEEDED, TIMEOUT
+from ..wire import control_pb2 as c, frames
+
+STATUS = {c.OK: SUCCEEDED, c.MOOT: MOOT, c.FULL: FULL, c.ERROR: ERROR}
+ALIVE, LOST = 1000.0, 4000.0    # says something this often; a peer silent for so long is gone
+
+
+class ControlLink:
+    """Keeps one stream to the controller. What it is told becomes events for `tell`; votes get their answer from
+    there, from the clock (`answer_wait`) or at once when the link is down."""
+
+    def __init__(self, me, to, kept, answer_wait, tell, log, signal_address, on_peers, chance, on_list):
+        self.me, self.to, self.kept, self.answer_wait, self.tell, self.log = me, to, kept, answer_wait, tell, log
+        self.signal_address, self.on_peers, self.chance, self.on_list = signal_address, on_peers, chance, on_list
+        self.out, self.waiting, self.number, self.up = None, {}, 0, False
+
+    def run(self):
+        wait = 50.0
+        while True:
+            try:
+                stream = host.connect(self.to, 1000)
+            except host.Refused as trouble:
+                self.log.info("control unreachable", why=trouble.kind)
+            else:
+                wait = 50.0 if self.talk(stream) else wait
+            # Spread, so that hundreds of proxies cut off together do not come back together.
+            host.sleep(wait * (0.5 + self.chance.random()))
+            wait = min(2000.0, 1.6 * wait)
+
+    def talk(self, stream):
+        """One stream until it breaks; True if it was of use."""
+        reader, heard = frames.FrameReader(), False
+        self.out = out = host.Mailbox(1024)
+        out.put(frames.pack(hello=c.Hello(role=c.PROXY, id=str(self.me), revision=self.kept.revision,
+                                          epoch=self.kept.epoch, signal_address=self.signal_address)))
+        writer = host.spawn(self.write, stream, out)
+        self.up = True
+        try:
+            while True:
+                data = stream.recv(65536, LOST)
+                if not data:
+                    self.log.info("control closed")
+                    break
+                for name, message in reader.feed(data):
+                    heard = True
+                    getattr(self, "on_" + name, self.on_other)(message)
+        except host.Late:
+            self.log.warning("control silent", for_ms=LOST)
+        except frames.BadFrame as trouble:
+            self.log.error("control sent garbage", why=str(trouble))
+        except OSError as trouble:
+            self.log.info("control broke", why=str(trouble))
+        finally:
+            self.up = False
+            stream.close()
+            host.stop(writer)
+            for number in list(self.waiting):
+                self.answered(number, TIMEOUT)      # it may have been heard
+        return heard
+
+    def write(self, stream, out):
+        try:
+            while True:
+                stream.send(out.take(ALIVE) or frames.pack(alive=c.Alive()), LOST)
+        except (OSError, host.Late):
+            stream.close()
+
+    # ---- what is told ----
+
+    def on_list(self, message):
+        raise NotImplementedError
+
+    def on_other(self, message):
+        pass
+
+    def on_refusal(self, message):
+        self.log.error("control refuses", why=message.why)
+
+    def on_welcome(self, message):
+        self.log.info("control up", epoch=message.epoch)
+
+    def on_stage(self, m):
+        if m.answer:
+            if m.number in self.waiting:
+                self.answered(m.number, STATUS.get(m.status, ERROR), m)
+            return
+        self.tell("stage_told", False, m.stage, m.since, m.cap, SUCCEEDED, m.ver, m.phase)
+
+    def on_tally(self, message):
+        for row in message.rows:
+            mean = row.taken / max(1, row.dispatches - row.bad)
+            self.tell("tally", row.dispatches, message.age, row.bad, mean, row.operation, row.ver)
+
+    # ---- votes ----
+
+    def vote(self, stage, ver, verdict):
+        self.number += 1
+        number = self.number
+        packed = frames.pack(vote=c.Vote(number=number, stage=stage, ver=ver, verdict=verdict))
+        if not self.up or not self.out.put(packed):
+            self.tell("stage_told", True, stage, 0.0, 0.0, ERROR, ver, 0)
+            return
+        self.waiting[number] = stage, ver, host.later(self.answer_wait, self.answered, number, TIMEOUT)
+
+    def answered(self, number, status, m=None):
+        stage, ver, timer = self.waiting.pop(number, (None, None, None))
+        if timer is None:
+            return
+        if status != TIMEOUT:
+            host.stop(timer)
+        if m is None:
+            m = c.Stage(stage=stage, ver=ver, cap=0.0, phase=0)
+        self.tell("stage_told", True, m.stage, m.since, m.cap, status, m.ver, m.phase)
+
+    def counts(self, rows):
+        if self.up:
+            self.out.put(frames.pack(counts=c.Counts(rows=rows)))
+
+    def ask_whole(self):
+        if not self.up or not self.out.put(frames.pack(ask=c.Ask(whole=True))):
+            self.tell("listed", "failed", ())
+
+
+class Signals:
+    """Datagrams: two bytes of the sender's number, then at most 256 of payload. Only known peers are heard."""
+
+    def __init__(self, me, at, tell):
+        self.me, self.tell, self.peers, self.names = me, tell, {}, {}
+        self.port = host.Datagrams(at)
+
+    def on_peers(self, message):
+        self.peers = {p.id: p.address for p in message.peers if p.id != str(self.me)}
+        self.names = {address: int(ident) for ident, address in self.peers.items() if ident.isdigit()}
+
+    def send(self, target, payload):
+        for ident, address in self.peers.items():
+            if target in ("*", ident):
+                self.port.send(address, self.me.to_bytes(2, "big") + payload[:256])
+
+    def run(self):
+        while True:
+            got = self.port.recv(512)
+            if got is None:
+                return
+            data, sender = got
+            if 2 < len(data) <= 258 and self.names.get(sender) == int.from_bytes(data[:2], "big"):
+                self.tell("peer", self.names[sender], data[2:])
--- /dev/null
+++ b/gannetfront/proxy/pools.py
@@ -0,0 +1,68 @@
+"""Connections to nodes: one pool a node, bounded, idle ones closed in time.
+
+Every exit returns or closes the connection. Only connections on which nothing waits to be read are handed out again:
+a node that closed one meanwhile has a byte or an end waiting there.
+"""
+from .. import host
+
+
+class Pool:
+    def __init__(self, addr, most, idle, connect_limit):
+        self.addr, self.most, self.idle_limit, self.connect_limit = addr, most, idle, connect_limit
+        self.out, self.idle = 0, []     # idle: (since, stream), oldest first
+
+    def take(self, limit):
+        """(stream, fresh), or Refused: nothing was sent then, whatever the reason."""
+        while self.idle:
+            _, stream = self.idle.pop()
+            # Against the classic double effect: a request written into a connection that the node has closed may
+            # be lost or not; one that shows its end before the first byte is simply not used.
+            if not stream.waiting():
+                self.out += 1
+                return stream, False
+            stream.close()
+        if self.out + len(self.idle) >= self.most:
+            raise host.Refused("pool full")
+        self.out += 1
+        try:
+            return host.connect(self.addr, min(self.connect_limit, limit)), True
+        except BaseException:
+            self.out -= 1
+            raise
+
+    def give(self, stream, reusable):
+        self.out -= 1
+        if reusable and stream.open:
+            self.idle.append((host.now(), stream))
+        else:
+            stream.close()
+
+    def close_idle(self, older_than=0.0):
+        end = host.now() - older_than
+        while self.idle and self.idle[0][0] <= end:
+            self.idle.pop(0)[1].close()
+
+
+class Pools:
+    def __init__(self, most, idle, connect_limit):
+        self.facts, self.by_addr, self.idle = (most, idle, connect_limit), {}, idle
+
+    def of(self, addr):
+        if addr not in self.by_addr:
+            self.by_addr[addr] = Pool(addr, *self.facts)
+        return self.by_addr[addr]
+
+    def close_idle(self, addr):
+        if addr in self.by_addr:
+            self.by_addr[addr].close_idle()
+
+    def sweep(self, listed):
+        """Closes what idled too long; forgets nodes no longer listed that hold nothing."""
+        for addr in list(self.by_addr):
+            pool = self.by_addr[addr]
+            pool.close_idle(self.idle)
+            if not pool.out and not pool.idle and addr not in listed:
+                del self.by_addr[addr]
+
+    def size(self):
+        return sum(p.out + len(p.idle) for p in self.by_addr.values())
--- /dev/null
+++ b/gannetfront/proxy/proxy.py
@@ -0,0 +1,168 @@
+"""gannet-proxy assembled: listener, rounds, pools, links; start, reload of the list from disk, graceful stop."""
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+from .. import host
+from ..balance import Balancer
+from ..config import load
+from ..interface import CANCELLED, MOOT, SUCCEEDED
+from ..wire import control_pb2 as c, http
+from .clients import Clients
+from .kept import KeptList
+from .links import ControlLink, Signals
+from .pools import Pools
+from .rounds import Rounds
+
+
+class Proxy:
+    def __init__(self, fleet, mine, log):
+        """`fleet` and `mine` are checked messages of the schema (Fleet, Proxy)."""
+        facts = load.deployment(fleet, mine.me, mine.zone, mine.tick)
+        self.log, self.state_file, self.stop_limit = log, mine.state_file, mine.stop_limit
+        self.kept, self.stage, self.began = KeptList(), None, host.now()
+        self.pools = Pools(mine.pool_cap, mine.pool_idle, mine.connect_limit)
+        self.rounds = Rounds(lambda: Balancer(mine.seed, facts), mine.tick, mine.most_held, mine.answer_limit,
+                             self.pools, log, mine.me)
+        self.rounds.refill = self.refill
+        self.ops = [o.name for o in fleet.operation]
+        operations = {o.name.encode(): n for n, o in enumerate(fleet.operation)}
+        tenants = {t.name.encode(): n for n, t in enumerate(fleet.tenant)}
+        self.clients = Clients(self.rounds, operations, tenants, (mine.header_limit, mine.body_limit),
+                               [(o.time_limit, mine.answer_margin) for o in fleet.operation],
+                               mine.read_limit, mine.idle_limit, self.inside, log)
+        self.signals = Signals(mine.me, mine.signal_listen, self.rounds.tell)
+        self.link = ControlLink(mine.me, mine.control, self.kept, facts.rollout.answer_wait, self.told, log,
+                                self.signals.port.where, self.signals.on_peers, host.chance(mine.seed, 1), None)
+        self.link.on_list, self.link.on_peers = self.on_list, self.signals.on_peers
+        self.rounds.link, self.rounds.signals = self.link, self.signals
+        self.dirty, self.done = False, host.Once()
+        self.most_clients, self.listen = mine.most_clients, mine.listen
+        self.sampled, self.share, self.period = {}, facts.rollout.tally_share, facts.rollout.tally_period
+        self.chance = host.chance(mine.seed, 2)
+        if self.period:
+            self.rounds.observe = self.sample
+
+    # ---- lists and stages on their way to the decisions ----
+
+    def told(self, name, *fields):
+        if name == "stage_told" and not fields[0]:
+            self.stage = fields
+        self.rounds.tell(name, *fields)
+
+    def on_list(self, message):
+        if message.failed:
+            self.rounds.tell("listed", "failed", ())
+            return
+        took = self.kept.take(message, host.now())
+        if took is None:
+            self.log.warning("list change missed", held=self.kept.revision, told=message.revision)
+            self.link.ask_whole()
+            return
+        self.dirty = True
+        self.log.info("list", kind=took[0], revision=message.revision, nodes=len(self.kept.nodes))
+        self.rounds.tell("listed", *took)
+
+    def refill(self):
+        entries = tuple(entry for entry, _ in self.kept.nodes.values())
+        self.rounds.tell("listed", "whole", entries)
+        if self.stage:
+            self.rounds.tell("stage_told", *self.stage)
+
+    def read_kept(self):
+        data = host.read_file(self.state_file)
+        known = self.kept.unpack(data, host.now())
+        if data and not known:
+            self.log.warning("kept list unreadable", file=self.state_file)
+        self.rounds.tell("listed", "kept", tuple(entry for entry, _ in self.kept.nodes.values()))
+
+    def keep(self):
+        """Writes the list to disk a while after a change: a burst of changes is one write."""
+        while True:
+            host.sleep(250)
+            self.pools.sweep(self.kept.nodes)
+            if self.dirty:
+                self.dirty = False
+                try:
+                    host.replace_file(self.state_file, self.kept.pack(host.now()))
+                except OSError as trouble:
+                    self.log.error("list not kept", file=self.state_file, why=str(trouble))
+
+    # ---- tallies ----
+
+    def sample(self, addr, op, status, took):
+        if status in (MOOT, CANCELLED) or addr not in self.kept.nodes or self.chance.random() >= self.share:
+            return
+        row = self.sampled.setdefault((self.kept.nodes[addr][0][2], op), [0, 0, 0.0])
+        row[0] += 1
+        if status == SUCCEEDED:
+            row[2] += took
+        else:
+            row[1] += 1
+
+    def send_counts(self):
+        while True:
+            host.sleep(self.period / 2)
+            rows, self.sampled = self.sampled, {}
+            if rows:
+                self.link.counts([c.Count(ver=ver, operation=op, dispatches=n, bad=bad, taken=taken)
+                                  for (ver, op), (n, bad, taken) in rows.items()])
+
+    # ---- asked of the proxy itself ----
+
+    def inside(self, url, keep):
+        if url == b"/-/healthy":
+            return http.answer(200, [], b"ok\n", keep), keep
+        if url == b"/-/ready":
+            ready = any(e[5] == "ready" for e, _ in self.kept.nodes.values()) and not self.clients.stopping
+            return http.answer(200 if ready else 503, [], b"ready\n" if ready else b"no nodes\n", keep), keep
+        if url == b"/-/metrics":
+            return http.answer(200, [(b"content-type", b"text/plain; version=0.0.4")], self.metrics(), keep), keep
+        return http.answer(404, [], b"not here\n", keep), keep
+
+    def metrics(self):
+        return generate_latest(self.registry)
+
+    def collect(self):
+        rounds = self.rounds
+        ends = CounterMetricFamily("gannet_invocations", "final answers", labels=("operation", "answer"))
+        for (kind, op), count in sorted(rounds.ends.items()):
+            ends.add_metric((self.ops[op], kind), count)
+        yield ends
+        for name, what, value in (
+                ("held", "open invocations", len(rounds.held)), ("in_flight", "dispatches out", len(rounds.flights)),
+                ("clients", "client connections", len(self.clients.open)),
+                ("node_connections", "connections to nodes", self.pools.size()),
+                ("nodes", "nodes listed", len(self.kept.nodes)), ("control_up", "link to the controller", self.link.up),
+                ("list_revision", "list held", self.kept.revision),
+                ("decision_ms", "time spent in decisions", rounds.spent), ("rounds", "rounds", rounds.rounds)):
+            yield GaugeMetricFamily("gannet_" + name, what, value=value)
+
+    # ---- life ----
+
+    def start(self):
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+        self.read_kept()
+        self.listener = host.Listener(self.listen)
+        self.greenlets = [host.spawn(call) for call in (
+            self.rounds.run, self.link.run, self.signals.run, self.keep, *([self.send_counts] if self.period else []))]
+        self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log, self.most_clients))
+        self.log.info("serving", at=self.listener.where, signals=self.signals.port.where, nodes=len(self.kept.nodes))
+
+    def stop(self):
+        """Takes nothing new, answers what it holds, ends within the stop limit."""
+        if self.clients.stopping:
+            return
+        self.clients.stopping = True
+        self.log.info("stopping", held=len(self.rounds.held))
+        self.listener.close()
+        end = host.now() + self.stop_limit
+        while self.clients.busy and host.now() < end:
+            host.sleep(10)
+        for held in list(self.rounds.held.values()):
+            self.rounds.end(held, "terminated", False)
+        host.sleep(20)
+        for stream in list(self.clients.open):
+            stream.close()
+        self.log.info("stopped", unanswered=len(self.clients.busy))
+        self.done.set()
--- /dev/null
+++ b/gannetfront/release/serve.py
@@ -0,0 +1,247 @@
+"""gannet-release on sockets: proxies and machines come in, lists, stages and tallies go out, votes are answered."""
+from .. import host
+from ..interface import FULL, MOOT, SUCCEEDED
+from ..wire import control_pb2 as c, frames
+from .stages import Stages
+
+STATUS = {SUCCEEDED: c.OK, MOOT: c.MOOT, FULL: c.FULL}
+ROUND = 25.0
+
+
+class Link:
+    def __init__(self, stream, most):
+        self.stream, self.out, self.id, self.role, self.most = stream, host.Mailbox(most), None, None, most
+
+    def put(self, due, data, note=None):
+        """False where the peer does not read: its link is dropped and resumes from what it holds."""
+        if self.out.put((due, data, note)):
+            return True
+        self.stream.close()
+        return False
+
+
+class Controller:
+    def __init__(self, fleet, mine, rollout, size, log, late=lambda: 0.0, told=None, epoch=1):
+        """`late()` is how long news waits before it is told (a script's doing); `told(at, proxy, message)` is called
+        as each list or stage leaves for a proxy; `rollout` is an interface.Rollout."""
+        self.logger, self.late, self.record, self.epoch = log, late, told or (lambda *x: None), epoch
+        rollout.__dict__["vote_allowance"] = fleet.rollout.vote_allowance
+        self.stages = Stages(rollout, size, len(fleet.zone), 4)
+        self.drain, self.most_queue, self.lost = fleet.rollout.drain, mine.link_queue, mine.lost_after
+        self.period, self.history_size = fleet.rollout.tally_period, mine.history
+        self.box, self.links, self.machines = host.Mailbox(65536), {}, None
+        self.nodes, self.slot_of, self.revision, self.history, self.rows = {}, {}, 0, [], {}
+        self.listen, self.most_links, self.waiting, self.noted = mine.listen, mine.most_links, [], {}
+        self.story, self.barred = lambda what, facts: None, set()
+
+    # ---- the round ----
+
+    def start(self):
+        self.listener = host.Listener(self.listen)
+        host.spawn(host.serve, self.listener, self.handle, self.logger, self.most_links)
+        host.spawn(self.run)
+        if self.period:
+            host.spawn(self.tallies)
+        self.logger.info("serving", at=self.listener.where)
+
+    def begin(self):
+        self.box.put(("begin",))
+
+    def run(self):
+        while True:
+            first = self.box.take(ROUND)
+            events = ([first] if first else []) + self.box.drain()
+            self.stages.round(host.now(), events, self)
+
+    def event(self, *event):
+        if not self.box.put(event):
+            self.logger.error("event lost: the box is full", event=event[0])
+
+    # ---- the writer of Stages ----
+
+    def place(self, slot, ver, zone, cell, warm):
+        self.machine(frames.pack(place=c.Place(slot=slot, build=ver, zone=zone, cell=cell, warm=warm)))
+
+    def remove(self, slot):
+        addr = next((a for a, s in self.slot_of.items() if s == slot), None)
+        if addr in self.nodes:
+            self.nodes[addr].state = c.DRAINING
+            self.changed([self.nodes[addr]])
+        # What has been told to drain is stopped only after the drain, counted from when the news leaves.
+        self.machine(frames.pack(remove=c.Remove(slot=slot, drain=self.drain + self.late())))
+
+    def machine(self, data):
+        if self.machines:
+            self.machines.put(0.0, data)
+        else:
+            self.waiting.append(data)
+
+    def stage(self):
+        for link in list(self.links.values()):
+            self.tell_stage(link)
+
+    def answer(self, proxy, number, status):
+        if proxy in self.links:
+            self.tell_stage(self.links[proxy], number, STATUS[status])
+
+    def log(self, what, facts):
+        self.logger.info(what, **facts)
+        self.story(what, facts)
+
+    def tell_stage(self, link, number=None, status=c.OK):
+        s, late = self.stages, self.late() if number is None else 0.0
+        message = c.Stage(answer=number is not None, stage=s.stage, since=max(0.0, host.now() - s.since), cap=s.cap,
+                          status=status, ver=s.ver, phase=s.phase, number=number or 0)
+        link.put(host.now() + late, frames.pack(stage=message), message)
+
+    # ---- the node list ----
+
+    def changed(self, nodes):
+        self.revision += 1
+        self.history = (self.history + [(self.revision, [(n, host.now()) for n in map(self.copy, nodes)])])[
+            -self.history_size:]
+        for link in list(self.links.values()):
+            self.tell_list(link, self.history[-1:])
+
+    @staticmethod
+    def copy(node):
+        other = c.Node()
+        other.CopyFrom(node)
+        return other
+
+    def aged(self, node, noted):
+        """Ages grow while they wait to be told."""
+        node = self.copy(node)
+        if node.age >= 0:
+            node.age += host.now() - noted
+        return node
+
+    def tell_list(self, link, changes=None):
+        """Changes by revision, or (None) the whole list."""
+        due = host.now() + self.late()
+        if changes is None:
+            nodes = [self.aged(n, self.noted[a]) for a, n in sorted(self.nodes.items())]
+            changes = [(self.revision, nodes, True)]
+        else:
+            changes = [(rev, [self.aged(n, at) for n, at in some], False) for rev, some in changes]
+        for revision, nodes, whole in changes:
+            message = c.NodeList(revision=revision, whole=whole, nodes=nodes, epoch=self.epoch)
+            link.put(due, frames.pack(list=message), message)
+
+    def on_report(self, m):
+        node, before = m.node, self.nodes.get(m.node.id)
+        if before and before.incarnation > node.incarnation and self.slot_of.get(node.id) == m.slot:
+            return      # news of a process that has been followed by another
+        if node.state == c.GONE:
+            if before and self.slot_of.get(node.id) == m.slot:
+                del self.nodes[node.id], self.slot_of[node.id]
+                self.noted.pop(node.id, None)
+                self.changed([node])
+            self.event("gone", m.slot)
+            return
+        for addr in [a for a, s in self.slot_of.items() if s == m.slot and a != node.id]:
+            old = self.nodes.pop(addr)
+            del self.slot_of[addr]
+            old.state = c.GONE
+            self.changed([old])
+        self.nodes[node.id], self.slot_of[node.id], self.noted[node.id] = self.copy(node), m.slot, host.now()
+        self.changed([node])
+        self.event("node", m.slot, node.state == c.READY)
+
+    # ---- links ----
+
+    def handle(self, stream):
+        link, reader = Link(stream, self.most_queue), frames.FrameReader()
+        writer = host.spawn(self.write, link)
+        try:
+            while True:
+                data = stream.recv(65536, self.lost)
+                if not data:
+                    break
+                for name, message in reader.feed(data):
+                    if link.role is None and name != "hello":
+                        raise frames.BadFrame(f"a {name} before any hello")
+                    getattr(self, "from_" + name, lambda *x: None)(link, message)
+        except frames.BadFrame as trouble:
+            self.logger.error("link sent garbage", id=link.id, why=str(trouble))
+        except (OSError, host.Late) as trouble:
+            self.logger.info("link broke", id=link.id, why=str(trouble) or "silent")
+        finally:
+            host.stop(writer)
+            stream.close()
+            if self.links.get(link.id) is link:
+                del self.links[link.id]
+                self.logger.info("proxy away", id=link.id)
+            if self.machines is link:
+                self.machines = None
+
+    def write(self, link):
+        """In order: what is told late holds up what comes behind it, as news does."""
+        try:
+            while True:
+                got = link.out.take(1000)
+                if got is None:
+                    link.stream.send(frames.pack(alive=c.Alive()), 4000)
+                    continue
+                due, data, note = got
+                while due > host.now():
+                    host.sleep(min(1000.0, due - host.now()))
+                    if due > host.now():
+                        link.stream.send(frames.pack(alive=c.Alive()), 4000)
+                link.stream.send(data, 4000)
+                if note is not None and link.role == c.PROXY:
+                    self.record(host.now(), link.id, note)
+        except (OSError, host.Late):
+            link.stream.close()
+
+    def from_hello(self, link, m):
+        link.role, link.id = m.role, m.id
+        if m.role == c.MACHINES:
+            self.machines = link
+            waiting, self.waiting = self.waiting, []
+            for data in waiting:
+                link.put(0.0, data)
+            return
+        if m.id in self.barred:     # a script's cut
+            link.stream.reset()
+            return
+        other = self.links.get(m.id)
+        if other:
+            other.stream.close()    # its successor is here: one voice a proxy
+        self.links[m.id], link.address = link, m.signal_address
+        link.put(0.0, frames.pack(welcome=c.Welcome(epoch=self.epoch)))
+        missed = [x for x in self.history if x[0] > m.revision]
+        known = m.epoch == self.epoch and m.revision <= self.revision and (
+            not missed and m.revision == self.revision or missed and missed[0][0] == m.revision + 1)
+        self.tell_list(link, missed if known else None)
+        self.tell_stage(link)
+        peers = frames.pack(peers=c.Peers(peers=[c.Peer(id=i, address=x.address) for i, x in sorted(self.links.items())]))
+        for each in list(self.links.values()):
+            each.put(0.0, peers)
+        self.logger.info("proxy here", id=m.id, resumed=bool(known), missed=len(missed) if known else -1)
+
+    def from_vote(self, link, m):
+        self.event("vote", link.id, m.number, m.stage, m.ver, m.verdict)
+
+    def from_report(self, link, m):
+        if link.role == c.MACHINES:
+            self.on_report(m)
+
+    def from_ask(self, link, m):
+        self.tell_list(link)
+
+    def from_counts(self, link, m):
+        for row in m.rows:
+            sums = self.rows.setdefault((row.ver, row.operation), [0, 0, 0.0])
+            for n, value in enumerate((row.dispatches, row.bad, row.taken)):
+                sums[n] += value
+
+    def tallies(self):
+        while True:
+            host.sleep(self.period)
+            rows, self.rows = self.rows, {}
+            if rows:
+                data = frames.pack(tally=c.Tally(age=self.late(), rows=[
+                    c.Count(ver=v, operation=o, dispatches=n, bad=b, taken=t) for (v, o), (n, b, t) in sorted(rows.items())]))
+                for link in list(self.links.values()):
+                    link.put(host.now() + self.late(), data)
--- /dev/null
+++ b/gannetfront/script.py
@@ -0,0 +1,230 @@
+"""Day scripts: one text format for the emulated nodes, the load, the controller and the day that plays them.
+
+A line is a word and its facts; '#' begins a remark. An error names file, line and word. Whatever is left to chance is
+drawn from the script's seed, the same in every process. Times in a script are seconds of the day; facts in ms say so.
+"""
+from . import host
+
+REQUIRED = object()
+NUMBER, TEXT, NUMBERS, WHOLE = "a number", "a word", "numbers set apart by commas", "a whole number"
+FACTS = {    # line -> fact -> (form, default, least, most)
+    "fleet": dict(nodes=(WHOLE, 12, 1, 2000), cores=(WHOLE, 2, 1, 64), speed=(NUMBER, 1.0, 0.01, 100),
+                  queue=(WHOLE, 24, 0, 100000), cold=(NUMBER, 0.4, 0.01, 1), cold_for=(NUMBER, 3000, 0, 600000),
+                  boot=(NUMBER, 400, 0, 60000), told=(NUMBER, 200, 0, 60000), cell=(WHOLE, 4, 1, 2000),
+                  cancelled=(TEXT, "stops", None, None), errors=(NUMBER, 0.0, 0, 1), spread=(NUMBER, 0.1, 0, 0.9)),
+    "traffic": dict(rate=(NUMBER, 120, 0.1, 100000), retries=(WHOLE, 1, 0, 10), backoff=(NUMBER, 150, 0, 60000),
+                    honour=(NUMBER, 0.8, 0, 1), patience=(NUMBER, 0.7, 0.01, 1), keys=(WHOLE, 500, 0, 10**6),
+                    leave=(NUMBER, 0.0, 0, 1), body=(WHOLE, 64, 0, 10**6)),
+    "operation": dict(effect=(TEXT, REQUIRED, None, None), share=(NUMBER, REQUIRED, 0, 1), work=(NUMBER, 60, 0.01, 60000),
+                      cv=(NUMBER, 0.7, 0, 5), slo=(NUMBER, 1000, 1, 600000), limit=(NUMBER, 3000, 1, 600000),
+                      value=(NUMBER, 1, 0, 10**6), late=(NUMBER, 0.2, 0, 1), window=(NUMBER, 0, 0, 10**8),
+                      group=(TEXT, "all", None, None)),
+    "tenant": dict(portion=(NUMBER, REQUIRED, 0, 1)),
+    "rollout": dict(shares=(NUMBERS, (0.1, 0.4, 1.0), 0, 1), caps=(NUMBERS, (0.2, 0.8, 1.0), 0, 1),
+                    soak=(NUMBER, 1500, 0, 10**7), window=(NUMBER, 3000, 100, 10**6), free=(NUMBER, 2, 0, 1000),
+                    by_operation=(WHOLE, 0, 0, 1), guarded=(WHOLE, 0, 0, 100), on=(WHOLE, 1, 0, 10000),
+                    back=(WHOLE, 1, 1, 10000), vote_life=(NUMBER, 6000, 100, 10**6), allowance=(NUMBER, 100, 1, 10**5),
+                    told_every=(NUMBER, 4000, 100, 10**6), tally=(NUMBER, 0, 0, 10**6), tally_share=(NUMBER, 0.2, 0, 1),
+                    drain=(NUMBER, 2500, 0, 10**6)),
+    "rules": dict(signal=(WHOLE, 0, 0, 1), duplicate=(WHOLE, 1, 0, 1), drain_grace=(NUMBER, 500, 0, 60000),
+                  multiple=(NUMBER, 3, 1, 100), overload_for=(NUMBER, 1000, 1, 60000), advice=(NUMBER, 1000, 0, 600000),
+                  sends=(WHOLE, 4, 1, 16), cross=(NUMBER, 0.0, 0, 1)),
+}
+KINDS = {   # trouble -> fact -> (form, default, least, most)
+    "burst": dict(x=(NUMBER, 1.8, 0, 100)),
+    "crash": dict(share=(NUMBER, 0.15, 0, 1)),
+    "vanish": dict(share=(NUMBER, 0.1, 0, 1)),
+    "slow": dict(share=(NUMBER, 0.2, 0, 1), x=(NUMBER, 3, 0.01, 1000)),
+    "fast_errors": dict(share=(NUMBER, 0.2, 0, 1), p=(NUMBER, 0.6, 0, 1)),
+    "heavy_tail": dict(operation=(TEXT, REQUIRED, None, None), p=(NUMBER, 0.02, 0, 1), x=(NUMBER, 12, 1, 1000)),
+    "hot_caller": dict(proxy=(WHOLE, 0, 0, 9999), share=(NUMBER, 0.5, 0, 1)),
+    "neighbour": dict(share=(NUMBER, 0.3, 0, 1), x=(NUMBER, 2, 0.01, 1000), every=(NUMBER, 2000, 10, 10**6)),
+    "report_late": dict(ms=(NUMBER, 1500, 0, 60000)),
+    "shared_slow": dict(x=(NUMBER, 1.8, 0.01, 1000)),
+    "shift": dict(zone=(TEXT, REQUIRED, None, None), share=(NUMBER, 0.8, 0, 1)),
+    "slow_class": dict(operation=(TEXT, REQUIRED, None, None), ms=(NUMBER, 800, 0, 600000)),
+    "slow_link": dict(zone=(TEXT, REQUIRED, None, None), ms=(NUMBER, 60, 0, 60000)),
+    "tenant_burst": dict(tenant=(TEXT, REQUIRED, None, None), x=(NUMBER, 3, 0, 100)),
+    "give_up": dict(patience=(NUMBER, 0.3, 0.01, 1), leave=(NUMBER, 0.3, 0, 1)),
+    "retry_abuse": dict(retries=(WHOLE, 4, 0, 50)),
+    "false_reports": dict(share=(NUMBER, 0.4, 0, 1)),
+    "balancer_roll": dict(share=(NUMBER, 1, 0, 1)),
+    "kill": dict(proxy=(WHOLE, 0, 0, 9999)),
+    "cut": dict(share=(NUMBER, 1, 0, 1)),
+    "drain": dict(share=(NUMBER, 0.1, 0, 1)),
+}
+FORMS = {"good": 1.0, "errors": 0.4, "class": 0.7, "slow": 3.0, "load": 0.5, "late": 0.6, "shared": 2.0}
+
+
+class BadScript(Exception):
+    pass
+
+
+class Trouble:
+    def __init__(self, kind, at, until, facts, nth):
+        self.kind, self.at, self.until, self.nth = kind, at, until, nth
+        self.__dict__.update(facts)
+
+
+class Offer:
+    def __init__(self, at, form, size, operation):
+        self.at, self.form, self.size, self.operation = at, form, size, operation
+
+    bad = property(lambda self: self.form != "good")
+
+
+class Day:
+    """A parsed script. Times in ms from the day's start. Lists keep the order of the file."""
+
+    def __init__(self, text, file="script"):
+        self.file, self.seconds, self.seed, self.proxies = file, 30.0, 1, 3
+        self.zones, self.operations, self.tenants, self.offers, self.troubles, seen = [], {}, {}, [], [], {}
+        for number, line in enumerate(text.splitlines(), 1):
+            words = line.split("#")[0].split()
+            if not words:
+                continue
+            self.line = number
+            verb, *rest = words
+            if verb in ("fleet", "traffic", "rollout", "rules"):
+                if verb in seen:
+                    self.fail(f"a second '{verb}', after line {seen[verb]}")
+                seen[verb] = number
+                setattr(self, verb, self.facts(FACTS[verb], rest))
+            elif verb in ("day", "seed", "proxies"):
+                form = (WHOLE, 0, 0, 2**63) if verb == "seed" else (WHOLE, 0, 1, 86400)
+                value = self.value(verb, form, rest[0] if len(rest) == 1 else "")
+                setattr(self, {"day": "seconds"}.get(verb, verb), value)
+            elif verb == "zones":
+                self.zones = rest
+            elif verb in ("operation", "tenant"):
+                if not rest:
+                    self.fail(f"{verb} needs a name")
+                table = self.operations if verb == "operation" else self.tenants
+                if rest[0] in table:
+                    self.fail(f"{verb} '{rest[0]}' stands twice")
+                table[rest[0]] = self.facts(FACTS[verb], rest[1:])
+            elif verb == "offer":
+                self.offer(rest)
+            elif verb == "at":
+                self.trouble(rest, number)
+            else:
+                self.fail(f"no such line: '{verb}'")
+        self.line = 0
+        for verb in ("fleet", "traffic", "rollout", "rules"):
+            if verb not in seen:
+                setattr(self, verb, self.facts(FACTS[verb], []))
+        self.zones = self.zones or ["here"]
+        self.check()
+
+    def fail(self, what):
+        raise BadScript(f"{self.file}:{self.line}: {what}")
+
+    def value(self, name, fact, text):
+        form, _, least, most = fact
+        try:
+            got = {TEXT: str, WHOLE: int, NUMBER: float,
+                   NUMBERS: lambda t: tuple(float(x) for x in t.split(","))}[form](text)
+        except ValueError:
+            self.fail(f"{name}: '{text}' is not {form}")
+        if form != TEXT and least is not None and not all(
+                least <= x <= most for x in (got if form == NUMBERS else (got,))):
+            self.fail(f"{name}: {text} is outside {least:g} to {most:g}")
+        return got
+
+    def facts(self, known, words):
+        got = {name: fact[1] for name, fact in known.items()}
+        for word in words:
+            name, eq, text = word.partition("=")
+            if not eq or name not in known:
+                self.fail(f"'{word}': known here: {', '.join(known)}")
+            got[name] = self.value(name, known[name], text)
+        missing = [name for name, value in got.items() if value is REQUIRED]
+        if missing:
+            self.fail(f"{missing[0]}= is needed")
+        return got
+
+    def offer(self, rest):
+        if len(rest) < 2 or rest[1] not in FORMS:
+            self.fail(f"offer SECOND {'|'.join(FORMS)} [size=] [operation=]")
+        at = self.value("offer", (NUMBER, 0, 0, 86400), rest[0]) * 1000
+        facts = self.facts(dict(size=(NUMBER, FORMS[rest[1]], 0, 1000), operation=(TEXT, "", None, None)), rest[2:])
+        if rest[1] == "class" and not facts["operation"]:
+            self.fail("operation= is needed")
+        self.offers.append(Offer(at, rest[1], facts["size"], facts["operation"]))
+
+    def trouble(self, rest, number):
+        if len(rest) < 4 or rest[1] != "for" or rest[3] not in KINDS:
+            self.fail(f"at SECOND for SECONDS {'|'.join(KINDS)} [fact=...]")
+        at, span = (self.value(n, (NUMBER, 0, 0, 86400), t) * 1000 for n, t in (("at", rest[0]), ("for", rest[2])))
+        self.troubles.append(Trouble(rest[3], at, at + span, self.facts(KINDS[rest[3]], rest[4:]), number))
+
+    def check(self):
+        for trouble in self.troubles:
+            self.line = trouble.nth
+            for name, table in (("operation", self.operations), ("tenant", self.tenants), ("zone", self.zones)):
+                if hasattr(trouble, name) and getattr(trouble, name) not in table:
+                    self.fail(f"{trouble.kind}: no {name} '{getattr(trouble, name)}'")
+            if hasattr(trouble, "proxy") and trouble.proxy >= self.proxies:
+                self.fail(f"{trouble.kind}: no proxy {trouble.proxy} among {self.proxies}")
+            if trouble.at >= self.seconds * 1000:
+                self.fail(f"{trouble.kind} begins after the day's end")
+            for other in self.troubles:
+                if (other is not trouble and other.kind == trouble.kind == "kill" and other.proxy == trouble.proxy
+                        and other.at <= trouble.at < other.until):
+                    self.fail(f"proxy {trouble.proxy} is already down since line {other.nth}")
+        self.line = 0
+        if not self.operations:
+            self.fail("no operation")
+        total = sum(op["share"] for op in self.operations.values())
+        if abs(total - 1) > 1e-6:
+            self.fail(f"the operations' shares come to {total:g}, not 1")
+
+    # ---- what follows from it ----
+
+    def during(self, kind, at):
+        return [t for t in self.troubles if t.kind == kind and t.at <= at < t.until]
+
+    def struck(self, trouble, count):
+        """Which of `count` places a trouble with a share strikes: drawn once, by the script's seed and its line."""
+        many = min(count, max(1, round(trouble.share * count))) if trouble.share > 0 else 0
+        return set(host.chance(self.seed, 11, trouble.nth).permutation(count)[:many].tolist())
+
+    def power(self):
+        """Work the whole fleet can do, ms of work a ms."""
+        return self.fleet["nodes"] * self.fleet["cores"] * self.fleet["speed"]
+
+    def load(self):
+        """Share of that which the traffic asks for."""
+        mean = sum(op["share"] * op["work"] for op in self.operations.values())
+        return self.traffic["rate"] / 1000 * mean / self.power()
+
+
+def fleet_text(day):
+    """The Fleet settings of a script, as protobuf text format."""
+    from google.protobuf import text_format
+
+    from .config import schema_pb2 as schema
+    r, rules = day.rollout, day.rules
+    fleet = schema.Fleet(
+        zone=day.zones, proxies=day.proxies, may_signal=bool(rules["signal"]), may_duplicate=bool(rules["duplicate"]),
+        retry_advice=rules["advice"], dispatch_cap=rules["sends"], cross_zone_price=rules["cross"],
+        drain_grace=rules["drain_grace"], cold_share=day.fleet["cold"], warm_within=day.fleet["cold_for"],
+        fall_multiple=rules["multiple"], overload_for=rules["overload_for"], over_share_value=0.1,
+        tenant=[schema.Tenant(name=name, portion=t["portion"]) for name, t in day.tenants.items()],
+        operation=[schema.Operation(
+            name=name, effect=op["effect"], slo_time=op["slo"], time_limit=op["limit"], billed_value=op["value"],
+            late_value=op["late"], window=op["window"], group=op["group"]) for name, op in day.operations.items()],
+        rollout=schema.Rollout(
+            machine_share=r["shares"], cap=r["caps"], soak=r["soak"], window=r["window"], free=r["free"],
+            by_operation=bool(r["by_operation"]), guarded=r["guarded"], on_votes=r["on"], back_votes=r["back"],
+            vote_life=r["vote_life"], vote_allowance=r["allowance"], told_every=r["told_every"],
+            tally_period=r["tally"], tally_share=r["tally_share"], drain=r["drain"]))
+    return text_format.MessageToString(fleet)
+
+
+def read(path):
+    try:
+        with open(path, encoding="utf-8") as f:
+            return Day(f.read(), str(path))
+    except (OSError, UnicodeDecodeError) as trouble:
+        raise BadScript(f"{path}:1: cannot be read: {trouble}") from None
--- /dev/null
+++ b/gannetfront/wire/invocation.py
@@ -0,0 +1,82 @@
+"""The invocation protocol on HTTP/1.1, without I/O: `POST /<operation>` and its three answers.
+
+Request headers: `Idempotency-Key` (the mark of a fingerprinted invocation), `Gannet-Tenant`, `Gannet-Key` (what it
+concerns; the same key goes together), `Gannet-Patience-Ms` (how long the client still waits). To a node the proxy
+adds `Gannet-From`, `Gannet-Dispatch` and `Gannet-Time-Limit-Ms`; the rest passes through.
+
+Answers carry `Gannet-Answer`. succeeded: the node's status, headers and body. throttled: 429, harmless to repeat,
+with `Retry-After` in whole seconds and `Gannet-Retry-After-Ms`. terminated: 504 when time ran out, else 502; it
+promises nothing either way. A node says that it has not begun an invocation with 503 and `Gannet-Unseen: 1`.
+"""
+from math import ceil, isfinite
+
+from ..interface import ERROR, FULL, SUCCEEDED
+from .http import BadRequest, answer, carried, header
+
+OURS = {b"gannet-patience-ms", b"gannet-from", b"gannet-dispatch", b"gannet-time-limit-ms", b"gannet-answer",
+        b"gannet-unseen", b"gannet-retry-after-ms"}
+KEY_LIMIT = 256     # bytes of a mark, key or tenant
+
+
+def asked(method, url, headers, operations, tenants):
+    """(operation index, tenant index, key, mark, patience in ms or None); raises BadRequest.
+
+    `operations` and `tenants` map names in bytes to an index; without tenants every caller is tenant 0."""
+    name = url.split(b"?", 1)[0][1:]
+    if name not in operations:
+        known = b", ".join(operations).decode()
+        raise BadRequest(404, f"no operation '{name[:64].decode('latin-1')}'; there are: {known}")
+    if method != b"POST":
+        raise BadRequest(405, "an invocation is a POST")
+    tenant = header(headers, b"gannet-tenant")
+    if tenants and tenant not in tenants:
+        raise BadRequest(403, "Gannet-Tenant names no tenant of this fleet")
+    patience = header(headers, b"gannet-patience-ms")
+    if patience is not None:
+        try:
+            patience = float(patience)
+        except ValueError:
+            patience = float("nan")
+        # Nobody waits a time that is not above zero: nothing could be answered before it is over.
+        if not isfinite(patience) or patience <= 0:
+            raise BadRequest(400, "Gannet-Patience-Ms must be a number above 0")
+    key, mark = header(headers, b"gannet-key"), header(headers, b"idempotency-key")
+    for what, value in (("Gannet-Key", key), ("Idempotency-Key", mark)):
+        if value is not None and not 0 < len(value) <= KEY_LIMIT:
+            raise BadRequest(400, f"{what} must have 1 to {KEY_LIMIT} bytes")
+    text = None if key is None else key.decode("latin-1")
+    return operations[name], tenants[tenant] if tenants else 0, text, mark, patience
+
+
+def onward(headers):
+    """What of the client's headers a node gets."""
+    return [(k, v) for k, v in carried(headers) if k not in OURS]
+
+
+def outcome_of(status, headers):
+    """A node's whole answer as an outcome: what is below 500 is the service's own answer."""
+    if status == 503 and header(headers, b"gannet-unseen") == b"1":
+        return FULL
+    return SUCCEEDED if status < 500 else ERROR
+
+
+def succeeded(status, headers, body, keep):
+    mine = [(k, v) for k, v in carried(headers) if k not in OURS]
+    return answer(status, mine + [(b"gannet-answer", b"succeeded")], body, keep)
+
+
+def throttled(retry_in, keep, why=b"throttled: nothing was done or doing it again is harmless\n"):
+    told = [(b"gannet-answer", b"throttled"), (b"content-type", b"text/plain")]
+    if retry_in > 0:
+        told += [(b"retry-after", b"%d" % ceil(retry_in / 1000)), (b"gannet-retry-after-ms", b"%.0f" % retry_in)]
+    return answer(429, told, why, keep)
+
+
+def terminated(late, keep):
+    told = [(b"gannet-answer", b"terminated"), (b"content-type", b"text/plain")]
+    return answer(504 if late else 502, told, b"terminated: it may or may not have been done\n", keep)
+
+
+def rejected(bad):
+    """Answer to a BadRequest; it was never taken."""
+    return answer(bad.status, [(b"content-type", b"text/plain")], bad.why.encode("latin-1", "replace") + b"\n", False)
