--- a/gannetfront/cli/day.py
+++ b/gannetfront/cli/day.py
@@ -32,7 +32,11 @@
         Day(day, script_file, records).play()
     except Failed as trouble:
         raise SystemExit(complain(f"{script_file}: {trouble}"))
-    lines, status = report(*judge(records))
+    verdict, facts = judge(records)
+    lines, status = report(verdict, facts)
+    for nth, offer in enumerate(day.offers):
+        lines.insert(-1, f"build {nth + 2} was {'good' if not offer.bad else 'bad: ' + offer.form}; "
+                         f"it ended {facts['phases'].get(str(nth + 2), 'unannounced')}")
     click.echo("\n".join([f"records in {records}", *lines]))
     raise SystemExit(status)
 
--- a/gannetfront/config/load.py
+++ b/gannetfront/config/load.py
@@ -66,7 +66,6 @@
                 least, most = about.least, about.most
                 if about.HasField("least") and not least <= value or about.HasField("most") and not value <= most:
                     fail(field.name, count, f"{value:g} is outside {least:g} to {most:g} {about.unit}".rstrip())
-    return fail
 
 
 def parse(kind, text, file):
@@ -85,7 +84,8 @@
 
 def check_fleet(fleet, file, lines):
     def fail(path, what):
-        raise BadSetting(f"{file}:{lines.get(path, 1)}: {'.'.join(map(str, path[::2]))}: {what}")
+        at = lines.get(path) or lines.get(path[:-2]) or 1       # one that is absent is named where its parent begins
+        raise BadSetting(f"{file}:{at}: {'.'.join(map(str, path[::2]))}: {what}")
 
     for kind, things in (("operation", [o.name for o in fleet.operation]), ("tenant", [t.name for t in fleet.tenant]),
                          ("zone", list(fleet.zone))):
--- a/gannetfront/script.py
+++ b/gannetfront/script.py
@@ -3,6 +3,8 @@
 A line is a word and its facts; '#' begins a remark. An error names file, line and word. Whatever is left to chance is
 drawn from the script's seed, the same in every process. Times in a script are seconds of the day; facts in ms say so.
 """
+import os
+
 from . import host
 
 REQUIRED = object()
@@ -62,7 +64,7 @@
 
 class Trouble:
     def __init__(self, kind, at, until, facts, nth):
-        self.kind, self.at, self.until, self.nth = kind, at, until, nth
+        self.kind, self.at, self.until, self.nth = kind, at, until, nth     # nth: its line
         self.__dict__.update(facts)
 
 
@@ -79,11 +81,10 @@
     def __init__(self, text, file="script"):
         self.file, self.seconds, self.seed, self.proxies = file, 30.0, 1, 3
         self.zones, self.operations, self.tenants, self.offers, self.troubles, seen = [], {}, {}, [], [], {}
-        for number, line in enumerate(text.splitlines(), 1):
-            words = line.split("#")[0].split()
+        for self.file, self.line, words in self.lines(text, file):
+            number = self.line
             if not words:
                 continue
-            self.line = number
             verb, *rest = words
             if verb in ("fleet", "traffic", "rollout", "rules"):
                 if verb in seen:
@@ -109,13 +110,30 @@
                 self.trouble(rest, number)
             else:
                 self.fail(f"no such line: '{verb}'")
-        self.line = 0
+        self.file, self.line = file, 0
         for verb in ("fleet", "traffic", "rollout", "rules"):
             if verb not in seen:
                 setattr(self, verb, self.facts(FACTS[verb], []))
         self.zones = self.zones or ["here"]
         self.check()
 
+    def lines(self, text, file, depth=0):
+        """(file, line, words); `use FILE` puts in the lines of another, named from where the script lies."""
+        for number, line in enumerate(text.splitlines(), 1):
+            words = line.split("#")[0].split()
+            if words[:1] != ["use"]:
+                yield file, number, words
+                continue
+            self.file, self.line = file, number
+            if len(words) != 2 or depth:
+                self.fail("use FILE, and not in a file that is used")
+            path = os.path.join(os.path.dirname(file), words[1])
+            try:
+                with open(path, encoding="utf-8") as f:
+                    yield from self.lines(f.read(), path, 1)
+            except (OSError, UnicodeDecodeError) as trouble:
+                self.fail(f"{words[1]}: cannot be read: {trouble}")
+
     def fail(self, what):
         raise BadScript(f"{self.file}:{self.line}: {what}")
 
--- a/gannetfront/wire/http.py
+++ b/gannetfront/wire/http.py
@@ -92,6 +92,8 @@
         # Both, or two of either: what one hop reads as a body another reads as the next request.
         if b"transfer-encoding" in names and b"content-length" in names:
             self.fail(400, "both Content-Length and Transfer-Encoding")
+        if self.parser.should_upgrade():
+            self.fail(400, "upgrades are not offered")
         if names.count(b"content-length") > 1 or names.count(b"transfer-encoding") > 1:
             self.fail(400, "a length that stands twice")
         if self.parser.get_http_version() == "1.1" and names.count(b"host") != 1:
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,144 @@
+"""A proxy, a controller and scripted nodes in one process, on loopback sockets."""
+from gannetfront import host
+from gannetfront.config import load, schema_pb2 as schema
+from gannetfront.proxy.proxy import Proxy
+from gannetfront.release.serve import Controller
+from gannetfront.wire import control_pb2 as c, http
+
+FLEET = """
+zone: "a" zone: "b"
+operation { name: "read" effect: "idempotent" slo_time: 500 time_limit: 1000 }
+operation { name: "place" effect: "fingerprinted" slo_time: 500 time_limit: 1000 window: 800 }
+operation { name: "debit" effect: "side-effecting" slo_time: 500 time_limit: 1000 }
+rollout { machine_share: 1 cap: 1 told_every: 300 answer_wait: 200 }
+drain_grace: 200
+"""
+
+
+class Log:
+    """Keeps what was logged, as (event, facts)."""
+
+    def __init__(self):
+        self.lines = []
+
+    def __getattr__(self, level):
+        return lambda event, **facts: self.lines.append((event, facts))
+
+    def said(self, event):
+        return [facts for name, facts in self.lines if name == event]
+
+
+class Node:
+    """Answers each whole request with the next of `acts`, the last for ever: bytes to send, a number of ms to wait
+    first, 'reset', 'close' or 'silent'. `seen` holds the requests."""
+
+    def __init__(self, *acts, at="127.0.0.1:0"):
+        self.acts, self.seen, self.streams, self.ended = list(acts or [ok()]), [], [], 0
+        self.listener = host.Listener(at)
+        self.at = self.listener.where
+        host.spawn(host.serve, self.listener, self.handle, Log())
+
+    def handle(self, stream):
+        self.streams.append(stream)
+        reader = http.RequestReader(65536, 1 << 24)
+        try:
+            while True:
+                while not reader.ready:
+                    data = stream.recv(65536, 5000)
+                    if not data:
+                        self.ended += 1
+                        return
+                    reader.feed(data)
+                self.seen.append(reader.ready.pop(0))
+                acts = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
+                for act in acts if isinstance(acts, list) else [acts]:
+                    if act == "reset":
+                        return stream.reset()
+                    if act == "close":
+                        return stream.close()
+                    if act == "silent":
+                        stream.recv(1, 10000)
+                        self.ended += 1
+                        return
+                    elif isinstance(act, (int, float)):
+                        host.sleep(act)
+                    else:
+                        stream.send(act, 1000)
+        except (OSError, host.Late):
+            self.ended += 1
+
+    def close(self):
+        self.listener.close()
+        for stream in self.streams:
+            stream.close()
+
+
+def ok(body=b"done", **headers):
+    return http.answer(200, [(k.encode(), v.encode()) for k, v in headers.items()], body)
+
+
+FULL = http.answer(503, [(b"gannet-unseen", b"1")], b"")
+
+
+class Rig:
+    def __init__(self, tmp_path, *nodes, fleet=FLEET, listed=True, **mine):
+        self.log, self.nodes, self.path, self.fleet, self.mine = Log(), list(nodes), tmp_path, fleet, mine
+        self.facts = load.parse(schema.Fleet, fleet, "fleet")
+        self.controller = Controller(self.facts, schema.Controller(), load.deployment(self.facts, 0, "", 1.0).rollout,
+                                     0, self.log)
+        self.controller.start()
+        self.control = self.controller.listener.where
+        for node in nodes if listed else ():
+            self.list(node)
+        self.start()
+
+    def start(self):
+        text = "\n".join(f"{k}: {v if not isinstance(v, str) else chr(34) + v + chr(34)}"
+                         for k, v in (dict(control=self.control, state_file=str(self.path / "kept")) | self.mine).items())
+        self.proxy = Proxy(self.facts, load.parse(schema.Proxy, text, "proxy"), self.log)
+        self.proxy.start()
+        self.at = self.proxy.listener.where
+        self.until(lambda: self.proxy.link.up and self.proxy.stage)
+        host.sleep(20)
+
+    def list(self, node, state=c.READY, slot=None, build=1, incarnation=1, age=-1.0):
+        slot = self.nodes.index(node) if slot is None else slot
+        self.controller.on_report(c.Report(slot=slot, node=c.Node(
+            id=node.at, zone=0, build=build, cell=0, state=state, heft=1.0, incarnation=incarnation, age=age)))
+
+    def until(self, true, limit=3000):
+        end = host.now() + limit
+        while not true():
+            assert host.now() < end, "never came about"
+            host.sleep(5)
+
+    def ask(self, op="read", body=b"", patience=None, stream=None, **headers):
+        """(status, answer kind, reader) of one invocation."""
+        stream = stream or host.connect(self.at, 1000)
+        told = [(k.replace("_", "-").encode(), str(v).encode()) for k, v in headers.items()]
+        if patience is not None:
+            told.append((b"gannet-patience-ms", str(patience).encode()))
+        stream.send(http.request(b"/" + op.encode(), b"x", told, body), 1000)
+        return self.read(stream)
+
+    def raw(self, data):
+        stream = host.connect(self.at, 1000)
+        stream.send(data, 1000)
+        return self.read(stream)
+
+    def read(self, stream):
+        reader = http.AnswerReader(1 << 24)
+        while not reader.whole:
+            data = stream.recv(65536, 3000)
+            reader.feed(data)
+            assert data or reader.whole, "closed without an answer"
+        kind = http.header(reader.headers, b"gannet-answer")
+        return reader.status, kind and kind.decode(), reader
+
+    def close(self):
+        for greenlet in self.proxy.greenlets:
+            host.stop(greenlet)
+        self.proxy.listener.close()
+        self.controller.listener.close()
+        for node in self.nodes:
+            node.close()
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,184 @@
+"""The judge is judged: one breach of each rule is found, and a whole day without a guard is caught."""
+import os
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import pytest
+
+from gannetfront import script
+from gannetfront.audit.rules import Judge
+from gannetfront.cli.audit import report
+from gannetfront.config import load, schema_pb2 as schema
+from gannetfront.interface import RELEASED, TRIAL
+from rig import FLEET
+
+ROOT = Path(__file__).parents[1]
+
+
+def trial(request="1.0", **facts):
+    return dict(request=request, work="1", proxy=0, operation="read", tenant="", mark="", due=1000.0, sent=1000.0,
+                patience=500.0, ended=1100.0, answer="succeeded", status=200, retry_after=0.0, nth=0, after=0) | facts
+
+
+def sent(request="1.0", **facts):
+    return dict(request=request, proxy="proxy/0", seq=0, operation="read", mark="", node="n", incarnation=1, build=1,
+                zone=0, cell=0, came=1010.0, began=1010.0, ended=1090.0, outcome="ok", effect=False, work=60.0) | facts
+
+
+def told(kind="node", **facts):
+    return dict(at=0.0, proxy="0", kind=kind, whole=False, revision=1, node="n", incarnation=1, build=1, state="ready",
+                stage=0, cap=0.0, phase=0) | facts
+
+
+def up(**facts):
+    return dict(at=1000.0, node="n", slot=0, incarnation=1, build=1, zone=0, cell=0, what="up", power=2.0, cold=0.4,
+                cold_for=3000.0) | facts
+
+
+STAGE = dict(kind="stage", build=2, cap=0.1, phase=TRIAL)
+OLD, NEW = dict(came=1010.0, ended=1050.0), dict(came=1200.0, ended=1250.0, seq=1)
+CASES = {   # name: (rule or None, tries, dispatches, told, nodes, events)
+    "all well": (None, [trial()], [sent()], [told()], [], []),
+    "answer too late": ("answered", [trial(ended=1600.0)], [sent()], [], [], []),
+    "no answer": ("answered", [trial(answer="none", ended=3000.0)], [], [], [], []),
+    "something after it": ("answered", [trial(after=1)], [], [], [], []),
+    "none of the three": ("answered", [trial(answer="other", status=500)], [], [], [], []),
+    "broken off": ("answered", [trial(answer="reset")], [], [], [], []),
+    "broken off as its proxy was killed": (
+        None, [trial(answer="reset")], [], [], [], [dict(at=1050.0, what="proxy killed", who="0", detail="")]),
+    "a client that left": (None, [trial(answer="left", ended=9000.0)], [], [], [], []),
+    "effect twice": ("effects", [trial(operation="debit")], [
+        sent(operation="debit", effect=True, **OLD), sent(operation="debit", effect=True, node="m", **NEW)], [], [], []),
+    "sent again though it may have run": ("effects", [trial(operation="debit")], [
+        sent(operation="debit", outcome="error", **OLD), sent(operation="debit", outcome="refused", **NEW)], [], [], []),
+    "sent again after a refusal": (None, [trial(operation="debit")], [
+        sent(operation="debit", outcome="refused", **OLD), sent(operation="debit", effect=True, **NEW)], [], [], []),
+    "throttled after its effect": ("effects", [trial(operation="debit", answer="throttled")], [
+        sent(operation="debit", effect=True)], [], [], []),
+    "mark sent too late": ("effects", [trial(operation="place", mark="m")], [
+        sent(operation="place", mark="m", **OLD), sent(operation="place", mark="m", seq=1, came=2000.0)], [], [], []),
+    "mark had its effect twice": ("effects", [trial(operation="place", mark="m")], [
+        sent(operation="place", mark="m", effect=True, **OLD),
+        sent("1.1", operation="place", mark="m", effect=True, **NEW)], [], [], []),
+    "sent long after the drain": ("drains", [trial()], [sent(came=1500.0)], [
+        told(), told(at=1000.0, state="draining")], [], []),
+    "sent within the grace": (None, [trial()], [sent(came=1150.0)], [told(), told(at=1000.0, state="draining")], [], []),
+    "back before it was sent to": (None, [trial()], [sent(came=1500.0, incarnation=2)], [
+        told(), told(at=1000.0, state="gone"), told(at=1400.0, incarnation=2)], [], []),
+    "left out of a whole list": ("drains", [trial()], [sent(came=1500.0)], [
+        told(), told(at=1000.0, kind="whole", whole=True, node="")], [], []),
+    "named again by the whole list": (None, [trial()], [sent(came=1500.0)], [
+        told(), told(at=1000.0, kind="whole", whole=True, node=""), told(at=1000.0, whole=True)], [], []),
+    "pushed over": ("cold", [trial()], [sent(str(n), came=1100.0 + n, work=100.0) for n in range(40)],
+                    [told(at=1050.0)], [up()], []),
+    "pushed by those who did not know": (None, [trial()], [sent(str(n), came=1100.0 + n, work=100.0) for n in range(40)],
+                                         [told(at=1900.0)], [up()], []),
+    "past the cap": ("exposure", [trial(str(n)) for n in range(20)], [
+        sent(str(n), build=2, came=1010.0 + n) for n in range(10)], [told(**STAGE)], [], []),
+    "within the cap": (None, [trial(str(n)) for n in range(20)], [
+        sent(str(n), build=2, came=1010.0 + n) for n in range(4)], [told(**STAGE)], [], []),
+    "released meanwhile": (None, [trial(str(n)) for n in range(20)], [
+        sent(str(n), build=2, came=1010.0 + n) for n in range(10)], [told(**STAGE), told(**STAGE | dict(
+            at=1005.0, phase=RELEASED))], [], []),
+    "after it went back": ("exposure", [trial(str(n)) for n in range(90)], [sent(build=2, came=1900.0)], [
+        told(**STAGE), told(**STAGE | dict(at=1005.0, phase=1, cap=0.0))], [], []),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_judge(name):
+    rule, tries, dispatches, news, nodes, events = CASES[name]
+    fleet = load.parse(schema.Fleet, FLEET, "f")
+    verdict = Judge(fleet, tries, dispatches, nodes, news, events).verdict()
+    assert {r for r, (_, stories) in verdict.items() if stories} == ({rule} if rule else set())
+    assert all("\n" not in story for _, stories in verdict.values() for story in stories)
+
+
+def test_records_too_thin_to_judge_are_said_to_be():
+    fleet = load.parse(schema.Fleet, FLEET, "f")
+    facts = dict(service=0.0, tries=0, dispatches=0, toppled=0, builds={}, phases={})
+    assert report(Judge(fleet, [], [], [], [], []).verdict(), facts)[1] == 2
+
+
+DAY = """
+day 8
+seed 3
+proxies 2
+zones a b
+fleet nodes=6 cores=2 queue=4 cold=0.3 cold_for=4000 boot=200 told=100
+traffic rate=60 retries=0 patience=1
+operation read effect=idempotent share=0.5 work=40 limit=900 slo=800
+operation place effect=fingerprinted share=0.25 work=40 limit=900 slo=800 window=900
+operation debit effect=side-effecting share=0.25 work=40 limit=900 slo=800
+rollout shares=0.5,1 caps=0.1,1 soak=9000 window=2000 free=2 drain=3000
+rules drain_grace=300 multiple=1 overload_for=400
+offer 2 good
+at 1 for 6 fast_errors share=0.4 p=0.7
+at 2 for 2 drain share=0.4
+at 4 for 1 crash share=0.6
+"""
+# What is taken out of the decisions, as text run in each proxy before it starts.
+GUARDS = {
+    None: "",
+    "answered": "from gannetfront.proxy.clients import Clients as C; w = C.wait\n"
+                "C.wait = lambda self, stream, reader, held, margin: w(self, stream, reader, held, 4000.0)\n"
+                "B.sweep = lambda self: None; B.give_up = lambda self, ident, inv: None",
+    "effects": "B.may_go = lambda self, inv: len(inv.tries) < 4",
+    "drains": "S = balance.Server; i = S.__init__\n"
+              "def f(self, e):\n    i(self, e); self.state = 'ready' if self.state == 'draining' else self.state\n"
+              "S.__init__ = f",
+    "cold": "B.cold_room = lambda self, server: True; "
+            "B.choose = lambda self, pool, op, inv: max(pool.picks, key=lambda p: p[1].since, default=None)",
+    "exposure": "B.exposed = lambda self, build, op: True",
+}
+
+
+def test_days_without_a_guard_are_caught(tmp_path):
+    def play(rule):
+        folder = tmp_path / str(rule)
+        (folder / "path").mkdir(parents=True)
+        (folder / "day.txt").write_text(DAY)
+        (folder / "path" / "sitecustomize.py").write_text(
+            "import sys\nif 'gannetfront.cli.proxy' in sys.orig_argv:\n"
+            "    from gannetfront import balance\n    B = balance.Balancer\n"
+            + "".join(f"    {line}\n" for line in GUARDS[rule].splitlines()))
+        env = os.environ | dict(PYTHONPATH=f"{folder / 'path'}:{ROOT}")
+        done = subprocess.run([sys.executable, "-c", START, str(folder / "day.txt"), str(folder)], env=env,
+                              capture_output=True, text=True, timeout=120)
+        return rule, done.returncode, done.stdout + done.stderr
+
+    with ThreadPoolExecutor(3) as pool:
+        for rule, code, said in pool.map(play, GUARDS):
+            broken = {line.split(":")[0] for line in said.splitlines() if line.endswith(" broken") and ", 0 " not in line}
+            assert (code == 1) == bool(rule), f"{rule}: {said}"
+            assert not rule or any(RULE[rule] in b for b in broken), f"{rule}: {said}"
+
+
+RULE = dict(answered="one final answer", effects="no effect", drains="after a drain", cold="cold node", exposure="exposure")
+START = "import sys; from gannetfront.cli.day import main; main([sys.argv[1], '--records', sys.argv[2]])"
+
+
+# ---- scripts ----
+
+@pytest.mark.parametrize("text, wrong", [
+    ("day x", "s:1: day: 'x' is not a whole number"), ("\nfly 3", "s:2: no such line: 'fly'"),
+    ("fleet nodes=0", "s:1: nodes: 0 is outside 1 to 2000"), ("fleet legs=2", "s:1: 'legs=2': known here"),
+    ("at 1 for 2 rain", "s:1: at SECOND for SECONDS"), ("offer 1 middling", "s:1: offer SECOND"),
+    ("day 9\nat 99 for 1 burst", "s:2: burst begins after the day's end"),
+    ("at 1 for 1 shift zone=moon", "s:1: shift: no zone 'moon'"), ("use nowhere.txt", "s:1: nowhere.txt: cannot be read"),
+    ("at 1 for 9 kill proxy=1\nat 3 for 1 kill proxy=1", "s:2: proxy 1 is already down since line 1"),
+    ("operation a effect=idempotent share=0.3", "s:0: the operations' shares come to 0.3"), ("", "s:0: no operation"),
+    ("operation a share=1", "s:1: effect= is needed"), ("traffic\ntraffic", "s:2: a second 'traffic'"),
+])
+def test_script_errors_name_their_line(text, wrong):
+    with pytest.raises(script.BadScript) as bad:
+        script.Day(text, "s")
+    assert str(bad.value).startswith(wrong)
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "scripts").rglob("*.txt")), ids=lambda p: p.stem)
+def test_shipped_scripts_make_good_settings(path):
+    if path.stem != "base":
+        load.parse(schema.Fleet, script.fleet_text(script.read(path)), path.name)
