--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -5,7 +5,7 @@
 """
 from bisect import bisect_right
 from collections import Counter, deque
-from itertools import accumulate, takewhile
+from itertools import accumulate
 from math import exp, log, log2, sqrt
 from statistics import NormalDist
 from zlib import crc32
@@ -36,11 +36,17 @@
         self.sent, self.since = deque(maxlen=200), self.launched    # dispatches while cold; last start
 
     def health(self, now, usual, failing=0.0):
-        fresh = [x for x in self.recent if x[0] > now - MEMORY]
-        old = takewhile(lambda t: now - t > 2 * usual, self.flying.values())    # in the order they were sent
-        times = [x[1] for x in fresh if x[1]] + [now - t for t in old]
-        return ((2 * usual + sum(times)) / (2 + len(times)),
-                (2 * failing + sum(x[2] for x in fresh)) / (2 + len(fresh)))
+        since, times, timed, bad, fresh = now - MEMORY, 0.0, 0, 0, 0
+        for at, took, wrong in self.recent:
+            if at > since:
+                fresh, bad = fresh + 1, bad + wrong
+                if took:
+                    times, timed = times + took, timed + 1
+        for sent in self.flying.values():   # oldest first
+            if now - sent <= 2 * usual:
+                break
+            times, timed = times + now - sent, timed + 1
+        return (2 * usual + times) / (2 + timed), (2 * failing + bad) / (2 + fresh)
 
 
 class Pool:     # ready servers, of earlier builds or on trial, weighed once: a draw is a search
--- a/gannetfront/cli/proxy.py
+++ b/gannetfront/cli/proxy.py
@@ -44,7 +44,7 @@
     if proxy:
         mine = settings(schema.Proxy, proxy)
         try:
-            load.deployment(facts, mine.me, mine.zone, mine.tick)
+            load.deployment(facts, mine.me, mine.zone, mine.wire_lag)
         except load.BadSetting as bad:
             raise SystemExit(complain(f"{proxy}:1: {bad}"))
     click.echo("fine")
--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -7,17 +7,16 @@
 import errno
 import os
 import signal as signals
+import socket
 import time
+from collections import deque
 
 import gevent
 import numpy as np
-from gevent import socket
-from gevent.event import AsyncResult
-from gevent.hub import Waiter, get_hub
-from gevent.lock import BoundedSemaphore  # noqa: F401 - part of the seam
-from gevent.queue import Empty, Full, Queue
+from gevent.hub import get_hub
+from greenlet import getcurrent
 
-DOWN = (OSError,)
+READ, WRITE = 1, 2
 
 
 class Late(Exception):
@@ -66,67 +65,149 @@
         gevent.signal_handler(getattr(signals, name), call)
 
 
+class Wait:
+    """One greenlet that waits for the first of several things; whatever wakes it later finds it `done`."""
+    __slots__ = "me", "done"
+
+    def __init__(self):
+        self.me, self.done = getcurrent(), False
+
+    def wake(self, why):
+        """From the hub only."""
+        if not self.done:
+            self.done = True
+            self.me.switch(why)
+
+
+def park(wait, limit):
+    """Gives way until something wakes `wait`; "late" after `limit` ms."""
+    hub, timer = get_hub(), None
+    if limit is not None:
+        timer = hub.loop.timer(limit / 1000 if limit > 0 else 0.0)
+        timer.start(wait.wake, "late")
+    try:
+        return hub.switch()
+    finally:
+        wait.done = True
+        if timer:
+            timer.stop()
+            timer.close()
+
+
 class Once:
     """A value set once, by the first to come; any greenlet may wait for it."""
+    __slots__ = "held", "waits", "is_set"
 
     def __init__(self):
-        self.result = AsyncResult()
+        self.held, self.waits, self.is_set = None, [], False
 
     def set(self, value=True):
-        if self.result.ready():
+        if self.is_set:
             return False
-        self.result.set(value)
+        self.is_set, self.held = True, value
+        for wait in self.waits:
+            get_hub().loop.run_callback(wait.wake, "set")
         return True
 
     def ready(self):
-        return self.result.ready()
+        return self.is_set
 
     def value(self):
-        return self.result.value
+        return self.held
 
     def wait(self, limit=None):
         """The value, or Late after `limit` ms."""
-        try:
-            return self.result.get(timeout=None if limit is None else max(0.0, limit) / 1000)
-        except gevent.Timeout:
-            raise Late() from None
+        if not self.is_set:
+            wait = Wait()
+            self.waits.append(wait)
+            why = park(wait, limit)
+            self.waits.remove(wait)
+            if why == "late" and not self.is_set:
+                raise Late()
+        return self.held
 
 
 class Mailbox:
-    """A bounded queue. `put` never waits: a full box answers False and the caller decides what that means."""
+    """A bounded queue with one reader. `put` never waits: a full box answers False and the caller decides what that
+    means."""
 
     def __init__(self, most):
-        self.queue = Queue(most)
+        self.most, self.things, self.reader = most, deque(), None
 
     def put(self, thing):
-        try:
-            self.queue.put_nowait(thing)
-            return True
-        except Full:
+        if len(self.things) >= self.most:
             return False
+        self.things.append(thing)
+        if self.reader:
+            get_hub().loop.run_callback(self.reader.wake, "put")
+            self.reader = None
+        return True
 
     def take(self, limit=None):
         """The next thing, or None after `limit` ms."""
-        try:
-            return self.queue.get(timeout=None if limit is None else max(0.0, limit) / 1000)
-        except Empty:
-            return None
+        if not self.things:
+            self.reader = Wait()
+            try:
+                park(self.reader, limit)
+            finally:
+                self.reader = None
+        return self.things.popleft() if self.things else None
 
     def drain(self):
-        things = []
-        while not self.queue.empty():
-            things.append(self.queue.get_nowait())
+        things, self.things = list(self.things), deque()
         return things
 
     def __len__(self):
-        return self.queue.qsize()
+        return len(self.things)
 
 
-class Stream:
-    """A byte stream. `recv` and `send` block this greenlet for at most `limit` ms; b'' is the peer's end."""
+class Port:
+    """A socket that never blocks the process, and the greenlets that wait on it: one to read, one to write."""
 
     def __init__(self, sock):
-        self.sock, self.open = sock, True
+        sock.setblocking(False)
+        self.sock, self.open, self.watchers, self.parked = sock, True, {}, {}
+
+    def until(self, event, limit=None, once=None):
+        """Waits for READ or WRITE: "ready", "late", or "set" where `once` came first. OSError once closed."""
+        if not self.open:
+            raise OSError(errno.EBADF, "closed here")
+        watcher = self.watchers.get(event)
+        if watcher is None:
+            watcher = self.watchers[event] = get_hub().loop.io(self.sock.fileno(), event)
+        wait = self.parked[event] = Wait()
+        watcher.start(wait.wake, "ready")
+        if once is not None:
+            once.waits.append(wait)
+        try:
+            why = park(wait, limit)
+        finally:
+            self.parked.pop(event, None)
+            if self.open:
+                watcher.stop()
+            if once is not None:
+                once.waits.remove(wait)
+        if why == "closed":
+            raise OSError(errno.EBADF, "closed here")
+        return why
+
+    def close(self):
+        if self.open:
+            self.open = False
+            for watcher in self.watchers.values():
+                watcher.stop()
+                watcher.close()
+            # Whoever waits here is woken: its descriptor may be another's before long.
+            for wait in self.parked.values():
+                get_hub().loop.run_callback(wait.wake, "closed")
+            self.sock.close()
+
+
+class Stream(Port):
+    """A byte stream. `recv` and `send` hold up this greenlet for at most `limit` ms; b'' is the peer's end."""
+
+    def __init__(self, sock):
+        super().__init__(sock)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
@@ -134,74 +215,47 @@
 
     def send(self, data, limit=None):
         """Sends all of `data`; raises Late or OSError. `sent` holds how many bytes left, whatever happened."""
-        self.sent, view = 0, memoryview(data)
-        end = None if limit is None else now() + limit
-        while self.sent < len(view):
-            self.sock.settimeout(None if end is None else max(0.001, (end - now()) / 1000))
+        self.sent, size, end = 0, len(data), None
+        while True:
             try:
-                self.sent += self.sock.send(view[self.sent:])
-            except TimeoutError:
-                raise Late() from None
+                self.sent += self.sock.send(data if not self.sent else memoryview(data)[self.sent:])
+            except BlockingIOError:
+                pass
+            if self.sent >= size:
+                return
+            if end is None and limit is not None:
+                end = now() + limit
+            if self.until(WRITE, None if end is None else end - now()) == "late":
+                raise Late()
 
     def recv(self, size, limit=None):
-        self.sock.settimeout(None if limit is None else max(0.001, limit / 1000))
-        try:
-            return self.sock.recv(size)
-        except TimeoutError:
-            raise Late() from None
+        return self.recv_or(None, size, limit)
 
     def recv_or(self, once, size, limit=None):
         """Bytes as `recv`, or None as soon as `once` is set; what is set is looked at first."""
-        if once.ready():
-            return None
-        try:
-            return self.sock._sock.recv(size, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            pass
-        hub = get_hub()
-        waiter, watcher = Waiter(hub), hub.loop.io(self.sock.fileno(), 1)
-        wake = lambda _: waiter.switch("set")
-        alarm = None if limit is None else hub.loop.timer(max(0.0, limit) / 1000)
-        try:
-            watcher.start(waiter.switch, "read")
-            once.result.rawlink(wake)
-            if alarm:
-                alarm.start(waiter.switch, "late")
-            why = waiter.get()
-        finally:
-            once.result.unlink(wake)
-            watcher.stop()
-            watcher.close()
-            if alarm:
-                alarm.stop()
-                alarm.close()
-        if why == "set" or once.ready():
-            return None
-        if why == "late":
-            raise Late()
-        try:
-            return self.sock._sock.recv(size, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return self.recv_or(once, size, limit)
+        while True:
+            if once is not None and once.is_set:
+                return None
+            why = self.until(READ, limit, once)
+            if why == "set" or once is not None and once.is_set:
+                return None
+            if why == "late":
+                raise Late()
+            try:
+                return self.sock.recv(size)
+            except BlockingIOError:
+                continue
 
     def waiting(self):
         """True where bytes, an end or an error wait to be read: an idle connection must show none."""
         try:
-            self.sock._sock.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK)
+            self.sock.recv(1, socket.MSG_PEEK)
             return True
         except BlockingIOError:
             return False
         except OSError:
             return True
 
-    def peer(self):
-        return self.sock.getpeername()[0]
-
-    def close(self):
-        if self.open:
-            self.open = False
-            self.sock.close()
-
     def reset(self):
         """Closes with a reset instead of an orderly end, as a process that dies does."""
         if self.open:
@@ -222,49 +276,54 @@
 
 def connect(to, limit):
     """A Stream to 'host:port'; raises Refused, after which it is known that nothing was sent."""
-    sock = None
+    stream = None
     try:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.settimeout(max(0.001, limit / 1000))
-        sock.connect(address(to))
-        sock.settimeout(None)
-        return Stream(sock)
-    except (OSError, ValueError) as trouble:
-        if sock:
-            sock.close()
-        if isinstance(trouble, TimeoutError):
-            raise Refused("late") from None
-        code = getattr(trouble, "errno", None)
-        raise Refused(errno.errorcode.get(code, "refused").lower()) from None
-
-
-class Listener:
+        stream = Stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        code = stream.sock.connect_ex(address(to))
+        if code == errno.EINPROGRESS:
+            if stream.until(WRITE, limit) == "late":
+                raise Refused("late")
+            code = stream.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise Refused(errno.errorcode.get(code, str(code)).lower())
+        return stream
+    except BaseException as trouble:
+        if stream:
+            stream.close()
+        if isinstance(trouble, (OSError, ValueError)):
+            raise Refused(errno.errorcode.get(getattr(trouble, "errno", None), "refused").lower()) from None
+        raise
+
+
+class Listener(Port):
     """Accepts streams on 'host:port' (port 0: any); `where` is the address it got."""
 
     def __init__(self, at, backlog=1024):
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        super().__init__(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             self.sock.bind(address(at))
             self.sock.listen(backlog)
         except OSError:
-            self.sock.close()
+            self.close()
             raise
-        self.where, self.open = "%s:%d" % self.sock.getsockname()[:2], True
+        self.where = "%s:%d" % self.sock.getsockname()[:2]
 
     def accept(self):
         """The next Stream, or None once closed. Out of descriptors raises OSError: the caller must pause."""
-        try:
-            sock, _ = self.sock.accept()
-            return Stream(sock)
-        except OSError:
-            if not self.open:
+        while self.open:
+            try:
+                return Stream(self.sock.accept()[0])
+            except (BlockingIOError, ConnectionAbortedError):
+                pass
+            except OSError:
+                if self.open:
+                    raise
+                return None
+            try:
+                self.until(READ)
+            except OSError:
                 return None
-            raise
-
-    def close(self):
-        self.open = False
-        self.sock.close()
 
 
 def serve(listener, handle, log, most=None):
@@ -288,17 +347,17 @@
         one.rawlink(held.discard)
 
 
-class Datagrams:
+class Datagrams(Port):
     """Small lossy messages. `send` drops what cannot go at once."""
 
     def __init__(self, at):
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        super().__init__(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
         self.sock.bind(address(at))
         self.where = "%s:%d" % self.sock.getsockname()[:2]
 
     def send(self, to, data):
         try:
-            self.sock._sock.sendto(data, socket.MSG_DONTWAIT, address(to))
+            self.sock.sendto(data, address(to))
         except (OSError, ValueError):
             pass
 
@@ -310,11 +369,14 @@
                 return data, "%s:%d" % who[:2]
             except ConnectionError:
                 continue    # an earlier datagram met a closed port: that is loss, not an end
+            except BlockingIOError:
+                pass
+            except OSError:
+                return None
+            try:
+                self.until(READ)
             except OSError:
                 return None
-
-    def close(self):
-        self.sock.close()
 
 
 def read_file(path):
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -17,7 +17,7 @@
 class Proxy:
     def __init__(self, fleet, mine, log):
         """`fleet` and `mine` are checked messages of the schema (Fleet, Proxy)."""
-        facts = load.deployment(fleet, mine.me, mine.zone, mine.tick)
+        facts = load.deployment(fleet, mine.me, mine.zone, mine.wire_lag)
         self.log, self.state_file, self.stop_limit = log, mine.state_file, mine.stop_limit
         self.kept, self.stage, self.began = KeptList(), None, host.now()
         self.pools = Pools(mine.pool_cap, mine.pool_idle, mine.connect_limit)
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -35,7 +35,7 @@
 
     def take(self, op, tenant, key, left, path, headers, body):
         """A Held, or None when as many as may be are held: then it was not taken."""
-        if len(self.held) >= self.most_held or len(self.box) >= self.box.queue.maxsize - 1024:
+        if len(self.held) >= self.most_held or len(self.box) >= self.box.most - 1024:
             return None
         self.count += 1
         held = Held(self.count, op, path, headers, body, host.now() + left)
--- a/gannetfront/wire/http.py
+++ b/gannetfront/wire/http.py
@@ -41,9 +41,11 @@
             if not data:
                 return
         try:
-            if self.in_head:
+            if self.in_head and self.size + len(data) > 4096:
                 self.headed(data)
             else:
+                self.size += len(data) if self.in_head else 0
+                self.begun = True
                 self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             raise BadRequest(400, "upgrades are not offered") from None
@@ -114,7 +116,7 @@
         self.body.append(data)
 
     def on_message_complete(self):
-        self.begun, self.in_head, self.wants_continue = False, True, False
+        self.begun, self.in_head, self.wants_continue, self.size = False, True, False, 0
         self.ready.append((self.parser.get_method(), self.url, self.headers, b"".join(self.body),
                            self.parser.should_keep_alive()))
 
@@ -180,8 +182,12 @@
 
 def carried(headers):
     """The end-to-end headers: without those of one hop and those that `Connection` names."""
-    named = {x.strip().lower() for key, value in headers if key == b"connection" for x in value.split(b",")}
-    return [(k, v) for k, v in headers if k not in HOP and k not in named]
+    kept = [(k, v) for k, v in headers if k not in HOP]
+    for key, value in headers:
+        if key == b"connection":
+            named = {x.strip().lower() for x in value.split(b",")}
+            kept = [(k, v) for k, v in kept if k not in named]
+    return kept
 
 
 def request(path, host, headers, body, method=b"POST"):
--- a/gannetfront/wire/invocation.py
+++ b/gannetfront/wire/invocation.py
@@ -28,10 +28,11 @@
         raise BadRequest(404, f"no operation '{name[:64].decode('latin-1')}'; there are: {known}")
     if method != b"POST":
         raise BadRequest(405, "an invocation is a POST")
-    tenant = header(headers, b"gannet-tenant")
+    told = dict(headers)
+    tenant = told.get(b"gannet-tenant")
     if tenants and tenant not in tenants:
         raise BadRequest(403, "Gannet-Tenant names no tenant of this fleet")
-    patience = header(headers, b"gannet-patience-ms")
+    patience = told.get(b"gannet-patience-ms")
     if patience is not None:
         try:
             patience = float(patience)
@@ -40,7 +41,7 @@
         # Nobody waits a time that is not above zero: nothing could be answered before it is over.
         if not isfinite(patience) or patience <= 0:
             raise BadRequest(400, "Gannet-Patience-Ms must be a number above 0")
-    key, mark = header(headers, b"gannet-key"), header(headers, b"idempotency-key")
+    key, mark = told.get(b"gannet-key"), told.get(b"idempotency-key")
     for what, value in (("Gannet-Key", key), ("Idempotency-Key", mark)):
         if value is not None and not 0 < len(value) <= KEY_LIMIT:
             raise BadRequest(400, f"{what} must have 1 to {KEY_LIMIT} bytes")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -267,6 +267,13 @@
     assert got.index(b"\r\n\r\n0") < got.index(b"\r\n\r\n1") < got.index(b"\r\n\r\n2")
 
 
+def test_many_large_bodies_on_one_connection(rig):
+    one = rig(Node())
+    stream = host.connect(one.at, 1000)
+    for _ in range(4):
+        assert one.ask(body=b"x" * 200000, stream=stream)[1] == "succeeded"
+
+
 def test_expect_continue_and_chunks(rig):
     one = rig(Node())
     stream = host.connect(one.at, 1000)
