--- a/gannetfront/audit/rules.py
+++ b/gannetfront/audit/rules.py
@@ -168,7 +168,7 @@
 
     def rule_exposure(self):
         r = self.fleet.rollout
-        stages, taken, lists = defaultdict(list), defaultdict(list), defaultdict(list)
+        stages, taken = defaultdict(list), defaultdict(list)
         for row in sorted(self.told, key=lambda x: x["at"]):
             if row["kind"] == "stage":
                 stages[row["proxy"]].append((row["at"], row["build"], row["stage"], row["cap"], row["phase"]))
--- a/gannetfront/proxy/clients.py
+++ b/gannetfront/proxy/clients.py
@@ -92,7 +92,7 @@
         gone, worse = self.wait(stream, reader, held, margin)
         if gone:
             return b"", False, True, None
-        kind, *facts = held.answer.value()
+        kind, *facts = held.answer
         if kind == SUCCEEDED:
             return invocation.succeeded(*facts, keep), keep, False, worse
         if kind == "throttled":
@@ -106,14 +106,13 @@
             left = held.deadline + margin / 2 - host.now()
             try:
                 if bad or len(reader.ready) >= PIPELINED:
-                    held.answer.wait(left)
+                    held.extra.done.wait(left)
                     return False, bad
-                data = stream.recv_or(held.answer, 65536, left)
+                data = stream.recv_or(held.extra.done, 65536, left)
             except host.Late:
                 # Nothing decided in time, whatever the reason: the client must hear something while it listens.
                 self.log.error("answer overdue", inv=held.ident)
-                self.rounds.end(held, "terminated", True)
-                self.rounds.tell("client_gone", held.ident)
+                self.rounds.leave(held, "terminated", True)
                 return False, bad
             except OSError:
                 data = b""
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -160,7 +160,7 @@
         while self.clients.busy and host.now() < end:
             host.sleep(10)
         for held in list(self.rounds.held.values()):
-            self.rounds.end(held, "terminated", False)
+            self.rounds.carrier.end(held, "terminated", False)
         host.sleep(20)
         for stream in list(self.clients.open):
             stream.close()
--- a/gannetfront/wire/invocation.py
+++ b/gannetfront/wire/invocation.py
@@ -61,6 +61,20 @@
     return SUCCEEDED if status < 500 else ERROR
 
 
+def load_of(answer):
+    """A node's report of its load, {name: figure}; what cannot be read is left out."""
+    load = {}
+    for part in (header(answer.headers, b"gannet-load") or b"").split(b","):
+        name, _, figure = part.strip().partition(b"=")
+        try:
+            value = float(figure)
+        except ValueError:
+            continue
+        if isfinite(value) and value >= 0 and len(load) < 4:
+            load[name.decode("latin-1")] = value
+    return load
+
+
 def succeeded(status, headers, body, keep):
     mine = [(k, v) for k, v in carried(headers) if k not in OURS]
     return answer(status, mine + [(b"gannet-answer", b"succeeded")], body, keep)
