--- a/gannetfront/load/clients.py
+++ b/gannetfront/load/clients.py
@@ -6,9 +6,8 @@
 from ..records import Table
 from ..wire import http
 from .arrivals import draw
+from .retry import LINGER, Intent
 
-LINGER = 1500.0     # a client listens on for so long past its patience, to see an answer that comes too late
-SETTLED = {"succeeded", "terminated"}
 
 
 class Load:
@@ -36,29 +35,15 @@
         self.log.info("load ends", arrivals=len(arrivals), missed=missed, unfinished=self.open)
         return missed
 
-    def retries(self, at):
-        return max([t.retries for t in self.day.during("retry_abuse", at)], default=self.day.traffic["retries"])
-
     def live(self, arrival):
         try:
-            op, nth = self.day.operations[arrival.operation], 0
-            end, first = self.start + arrival.due + op["limit"], None
-            honours = self.chance.random() < self.day.traffic["honour"]
+            intent = Intent(self.day, arrival, self.start, self.chance)
             while True:
-                first = first or host.now()
-                answer, advice = self.attempt(arrival, nth, min(arrival.patience, end - host.now()))
-                nth += 1
-                abused = bool(self.day.during("retry_abuse", host.now() - self.start))
-                again = {"idempotent": answer not in ("succeeded", "left"),
-                         "fingerprinted": answer == "throttled" or op["group"] == "all" and answer not in (
-                             "succeeded", "left") and host.now() < first + op["window"] - 2 * LINGER}.get(
-                                 op["effect"], answer == "throttled") or answer == "unreachable"
-                if not again or nth > self.retries(host.now() - self.start):
-                    return
-                wait = 0.0 if abused else self.day.traffic["backoff"] * (0.5 + self.chance.random())
-                host.sleep(max(wait, advice if honours and not abused else 0.0))
-                if host.now() > end - 50:
+                answer, advice = self.attempt(arrival, intent.nth, intent.patience(host.now()))
+                wait = intent.again(host.now(), answer, advice)
+                if wait is None:
                     return
+                host.sleep(wait)
         finally:
             self.open -= 1
 
