--- a/gannetfront/kitchen/fleet.py
+++ b/gannetfront/kitchen/fleet.py
@@ -13,7 +13,7 @@
     def __init__(self, slot, build, zone, cell):
         self.slot, self.build, self.zone, self.cell = slot, build, zone, cell
         self.at, self.incarnation, self.listener, self.node, self.streams = "127.0.0.1:0", 0, None, None, set()
-        self.state, self.jobs, self.stuck = "down", {}, False
+        self.state, self.jobs, self.stuck, self.report = "down", {}, False, None
 
 
 class Fleet:
@@ -23,6 +23,7 @@
         self.chance, self.over = host.chance(day.seed, 21), False
         self.zone_of = [day.zones[n % len(day.zones)] for n in range(day.proxies)]
         self.effects = {name: op["effect"] for name, op in day.operations.items()}
+        self.timeline, self.lags = [], []       # (scripted ms, kind, begins, places), and how late each came
         self.shared_size = max((o.size for o in day.offers if o.form == "shared"), default=0.0)
 
     def now(self):
@@ -43,7 +44,8 @@
         place.node = Node(fleet["cores"], fleet["speed"] * spread, fleet["queue"], fleet["cold"], fleet["cold_for"],
                           rules["multiple"], rules["overload_for"], self.clock(), warm,
                           (bad.form, bad.size, bad.operation) if bad else ("", 0.0, ""),
-                          host.chance(self.day.seed, 41, place.slot, place.incarnation))
+                          host.chance(self.day.seed, 41, place.slot, place.incarnation), fleet["warm_by"], fleet["thrash"],
+                          fleet["connections"])
         place.state, place.jobs = "up", {}
         self.note(place, "up")
         for trouble in self.day.troubles:
@@ -94,19 +96,27 @@
         return more
 
     def load(self, place):
+        """(waiting, running) as it reports them: refreshed now and then, a little noisy, false where stuck."""
         if place.stuck:
             return 0, 0     # a false report: idle, whatever it holds
-        return len(place.node.waiting), len(place.node.running)
+        fleet, now = self.day.fleet, self.clock()
+        if not place.report or now - place.report[0] >= fleet["report_every"]:
+            noise = 1 + fleet["report_noise"] * (2 * place.node.chance.random() - 1) if fleet["report_noise"] else 1
+            place.report = now, round(len(place.node.waiting) * noise), round(len(place.node.running) * noise)
+        return place.report[1:]
 
     # ---- troubles of the script ----
 
     def trouble(self, trouble, begins, only=None):
         if not hasattr(self, "on_" + trouble.kind) or self.over:
             return
-        base = self.day.fleet["nodes"]
-        struck = self.day.struck(trouble, base) if hasattr(trouble, "share") else set(range(base))
+        base, struck = self.day.fleet["nodes"], self.day.hit(trouble)
+        if only is None:
+            at = trouble.at if begins else trouble.until
+            self.timeline.append((at, trouble.kind, begins, sorted(struck)))
+            self.lags.append(self.now() - at)
         for place in [only] if only else list(self.places.values()):
-            if place.slot % base in struck and place.node:
+            if place.slot % base in struck and place.node and getattr(trouble, "build", 0) in (0, place.build):
                 getattr(self, "on_" + trouble.kind)(trouble, place, begins)
         if trouble.kind == "shared_slow":
             self.shared.x = trouble.x if begins else 1.0
@@ -121,6 +131,26 @@
         place.node.silent = begins
         self.note(place, "silent" if begins else "heard")
 
+    def on_pause(self, trouble, place, begins):
+        """It stands still for a while, again and again, then works through what it holds, waited for or not."""
+        node = place.node
+
+        def still(on):
+            if place.node is not node:
+                return
+            node.silent = on and self.now() < trouble.until
+            if on and node.silent:
+                self.later(trouble.ms, still, False)
+            elif self.now() + trouble.every < trouble.until:
+                self.later(trouble.every, still, True)
+        if begins:
+            still(True)
+
+    def on_leak(self, trouble, place, begins):
+        """Each job leaves a little behind; only a new process is free of it."""
+        rate = self.day.traffic["rate"] / self.day.fleet["nodes"] / 1000
+        place.node.leak_per = (trouble.x - 1) / max(1.0, rate * (trouble.until - trouble.at)) if begins else 0.0
+
     def on_slow(self, trouble, place, begins):
         place.node.slow *= trouble.x if begins else 1 / trouble.x
 
--- a/gannetfront/kitchen/model.py
+++ b/gannetfront/kitchen/model.py
@@ -44,8 +44,13 @@
 
 
 class Node:
-    def __init__(self, cores, speed, queue, cold, cold_for, multiple, overload_for, born, warm, build, chance):
-        """`build` is (form, size, operation); `cold` the part of capacity at the start, `cold_for` ms to the whole."""
+    def __init__(self, cores, speed, queue, cold, cold_for, multiple, overload_for, born, warm, build, chance,
+                 warm_by="time", thrash=0.02, connections=0.0):
+        """`build` is (form, size, operation); `cold` the part of capacity at the start, `cold_for` ms to the whole
+        (sooner with work done where `warm_by` is "work"); `thrash` work added for each job waiting beyond the cores;
+        `connections` capacity that a hundred open ones take, as a share."""
+        self.by_work, self.thrash, self.tax, self.connected, self.done = warm_by == "work", thrash, connections, 0, 0.0
+        self.leak, self.leak_per = 1.0, 0.0
         self.cores, self.speed, self.most_waiting, self.cold, self.cold_for = cores, speed, queue, cold, cold_for
         self.multiple, self.overload_for, self.born, self.warm = multiple, overload_for, born, warm
         self.form, self.size, self.bad_op = build
@@ -56,7 +61,10 @@
     def ramp(self, now):
         if self.warm or not self.cold_for:
             return 1.0
-        return min(1.0, self.cold + (1 - self.cold) * max(0.0, now - self.born) / self.cold_for)
+        part = max(0.0, now - self.born) / self.cold_for
+        if self.by_work:    # never slower than by time
+            part = max(part, 2 * self.done / (self.cores * self.speed * self.cold_for))
+        return min(1.0, self.cold + (1 - self.cold) * part)
 
     def pressed(self, now, work):
         """True once what was sent within the span is past the multiple of what a cold node can do."""
@@ -96,7 +104,8 @@
                 work *= self.size
             work /= self.size if self.form == "good" else 1.0
             # More waiting than cores: switching and memory cost a little each.
-            work *= 1 + 0.02 * max(0, len(self.waiting) - self.cores)
+            work *= 1 + self.thrash * max(0, len(self.waiting) - self.cores)
+            work *= self.leak / max(0.05, 1 - self.tax * self.connected / 100)
             job.began, job.ends = now, now + work / (self.speed * self.ramp(now))
             self.running.add(job)
             begun.append(job)
@@ -110,6 +119,8 @@
         if job not in self.running:
             return True, []
         self.running.discard(job)
+        self.done += job.work
+        self.leak += self.leak_per      # memory that is never given back: each job costs the next ones more
         return job.fails or self.breaks(now, job), self.begin(now)
 
     def breaks(self, now, job):
--- a/gannetfront/kitchen/serve.py
+++ b/gannetfront/kitchen/serve.py
@@ -2,6 +2,8 @@
 
 Every dispatch that reaches a node is a row of what crossed its socket, with the effect that it had.
 """
+import json
+
 from .. import host
 from ..records import Table
 from ..wire import control_pb2 as c, frames, http
@@ -22,6 +24,11 @@
 
     def run(self):
         self.schedule_troubles()
+        if self.control is None:    # by itself: the fleet at rest, for whoever is pointed at it
+            for slot in range(self.day.fleet["nodes"]):
+                self.place(c.Place(slot=slot, build=1, zone=slot % len(self.day.zones), warm=True,
+                                   cell=slot // self.day.fleet["cell"]))
+            return
         while not self.done.ready():
             try:
                 stream = host.connect(self.control, 1000)
@@ -93,9 +100,14 @@
             return
         place.at = place.listener.where
         self.equip(place, warm)
+        self.note_address(place)
         host.spawn(host.serve, place.listener, lambda stream: self.handle(place, stream), self.log, 2000)
         self.report(place, 0 if warm else self.day.fleet["told"])
 
+    def note_address(self, place):
+        if self.control is None:
+            self.log.info("node", slot=place.slot, at=place.at, zone=self.day.zones[place.zone])
+
     def note(self, place, what):
         node = place.node
         self.life.add(host.now(), place.at, place.slot, place.incarnation, place.build, place.zone, place.cell, what,
@@ -134,6 +146,7 @@
     def handle(self, place, stream):
         node, incarnation = place.node, place.incarnation
         place.streams.add(stream)
+        node.connected = len(place.streams)
         reader = http.RequestReader(65536, 8 << 20)
         try:
             while True:
@@ -153,11 +166,16 @@
             pass
         finally:
             place.streams.discard(stream)
+            node.connected = len(place.streams)
             stream.close()
 
     def work(self, place, node, stream, request, came):
         """The answer's bytes, or None where nobody waits for one."""
         _, path, headers, body, keep = request
+        if path == b"/-/shallow":       # beside the queue: says only that the process runs
+            return http.answer(200, [self.reported(place)], b"ok\n", keep)
+        if path == b"/-/deep":          # waits and is served as an invocation is
+            headers = [(b"x-work-ms", b"1"), (b"x-request-id", b"probe")]
         get = lambda name: (http.header(headers, name) or b"").decode("latin-1")
         op, mark, proxy = path[1:].decode("latin-1"), get(b"idempotency-key"), get(b"gannet-from")
         job = Job(get(b"x-request-id"), proxy, int(get(b"gannet-dispatch") or 0), op,
@@ -218,6 +236,34 @@
         self.served.add(job.request, job.proxy, job.seq, job.op, job.mark, place.at, place.incarnation, place.build,
                         place.zone, place.cell, job.came, job.began, host.now(), outcome, effect, job.work)
 
+    def view(self):
+        """Each place as it stands, for whoever asks."""
+        now = host.now()
+        return [dict(slot=p.slot, address=p.at, build=p.build, zone=self.day.zones[p.zone], state=p.state,
+                     incarnation=p.incarnation, capacity=round(p.node.ramp(now), 3), running=len(p.node.running),
+                     waiting=len(p.node.waiting), connections=len(p.streams), silent=p.node.silent,
+                     slow=round(p.node.slow * p.node.leak, 3)) for _, p in sorted(self.places.items()) if p.node]
+
+    def show(self, at):
+        """Answers any request at `at` with the view, as JSON."""
+        def handle(stream):
+            reader = http.RequestReader(8192, 8192)
+            try:
+                while not reader.ready:
+                    data = stream.recv(8192, 5000)
+                    if not data:
+                        return
+                    reader.feed(data)
+                stream.send(http.answer(200, [(b"content-type", b"application/json")],
+                                        json.dumps(self.view(), indent=1).encode() + b"\n", False), 5000)
+            except (OSError, host.Late, http.BadRequest):
+                pass
+            finally:
+                stream.close()
+        listener = host.Listener(at)
+        host.spawn(host.serve, listener, handle, self.log, 32)
+        return listener.where
+
     def close(self):
         self.over = True
         self.done.set()
--- a/gannetfront/lab/grid.py
+++ b/gannetfront/lab/grid.py
@@ -33,7 +33,7 @@
     alone, like `proxies`, has FACT '-')."""
 
     def __init__(self, path):
-        self.path, self.script, self.seeds, self.policies, self.vary = Path(path), None, range(1, 4), ["module"], []
+        self.path, self.script, self.text, self.seeds, self.policies, self.vary = Path(path), None, "", range(1, 4), ["module"], []
         try:
             lines = self.path.read_text(encoding="utf-8").splitlines()
         except (OSError, UnicodeDecodeError) as trouble:
@@ -49,6 +49,10 @@
                 raise BadExperiment(f"{path}:{number}: {verb}: {trouble}") from None
         if self.script is None:
             raise BadExperiment(f"{path}:1: script FILE is needed")
+        try:
+            self.text = self.script.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as trouble:
+            raise BadExperiment(f"{path}: script {self.script}: cannot be read: {trouble}") from None
         for cell in self.cells():   # every cell's script is read before any is played
             self.day(cell)
 
@@ -81,9 +85,8 @@
                     yield dict(policy=policy, changes=[list(c) for c in changes], seed=seed)
 
     def day(self, cell):
-        text = self.script.read_text(encoding="utf-8")
         lines = []
-        for line in text.splitlines():
+        for line in self.text.splitlines():
             words = line.split("#")[0].split()
             for name, fact, value in cell["changes"]:
                 if words and words[0] == name:
@@ -132,7 +135,7 @@
     for value, slot in best.values():
         table["earned"][slot] += value
     bad = {n + 2 for n, offer in enumerate(day.offers) if offer.bad}
-    released, phases, stages = 1, [], []
+    stages = []
     for when, what, f in world.story:
         if what == "stage":
             stages.append((when, f["stage"] if f["phase"] == 0 else len(day.rollout["caps"]), f))
@@ -171,12 +174,12 @@
     return table, summary
 
 
-def play(path, cell):
-    """One cell as the bytes of a Parquet file."""
-    day, begun = Experiment.day(path, cell), time.process_time()
+def play(experiment, cell, digest):
+    """One cell as the bytes of a Parquet file; `digest` is the core's, read before any cell was played."""
+    day, begun = experiment.day(cell), time.process_time()
     table, summary = measure(World(day, POLICIES[cell["policy"]]).run())
     took = time.process_time() - begun
-    meta = dict(cell=cell, summary=summary, core=core(), text=path.script.read_text(encoding="utf-8"), took=round(took, 2))
+    meta = dict(cell=cell, summary=summary, core=digest, text=experiment.text, took=round(took, 2))
     arrow = pa.table({c: pa.array(table[c], pa.float64()) for c in COLUMNS}).replace_schema_metadata(
         {"gannet": json.dumps(meta, sort_keys=True)})
     out = io.BytesIO()
@@ -185,7 +188,7 @@
 
 
 def name_of(experiment, cell, digest):
-    key = json.dumps([cell, experiment.script.read_text(encoding="utf-8"), digest], sort_keys=True)
+    key = json.dumps([cell, experiment.text, digest], sort_keys=True)
     return xxhash.xxh64(key.encode()).hexdigest() + ".parquet"
 
 
@@ -205,7 +208,7 @@
     missing = [(cell, path) for cell, path in todo if not path.exists()]
     with ProcessPoolExecutor(workers) as pool:
         # In the order of the grid and no more than a few ahead: a stopped run has its first cells.
-        futures = [(pool.submit(play, experiment, cell), path) for cell, path in missing]
+        futures = [(pool.submit(play, experiment, cell, digest), path) for cell, path in missing]
         try:
             for done, (future, path) in enumerate(futures, 1):
                 try:
--- a/gannetfront/lab/world.py
+++ b/gannetfront/lab/world.py
@@ -339,6 +339,11 @@
             self.meet(place, job)
 
     def meet(self, place, job):
+        if self.day.fleet["connections"]:
+            # Kept open for as long as the proxies keep theirs: whoever sent within ten seconds.
+            place.streams = {n: t for n, t in place.streams.items() if t > self.time - 10000} if place.streams else {}
+            place.streams[job.proxy] = self.time
+            place.node.connected = len(place.streams)
         verdict, begun = self.met(place, job)
         place.jobs[id(job)] = job
         if verdict == REFUSED:
--- a/gannetfront/load/arrivals.py
+++ b/gannetfront/load/arrivals.py
@@ -4,6 +4,7 @@
 from .. import host
 
 STEP = 10.0     # ms
+TAIL = 2.2      # of the heavy law: a mean and a variance, but no third moment
 
 
 class Arrival:
@@ -42,8 +43,13 @@
                 if there and chance.random() < trouble.share:
                     proxy = there[int(chance.integers(len(there)))]
             op = day.operations[name]
-            sigma = sqrt(log(1 + op["cv"] ** 2))
-            work = float(chance.lognormal(log(op["work"]) - sigma ** 2 / 2, sigma))
+            if op["law"] == "exp":
+                work = float(chance.exponential(op["work"]))
+            elif op["law"] == "pareto":
+                work = op["work"] * (TAIL - 1) / TAIL * (1 + float(chance.pareto(TAIL)))
+            else:
+                sigma = sqrt(log(1 + op["cv"] ** 2))
+                work = float(chance.lognormal(log(op["work"]) - sigma ** 2 / 2, sigma))
             share, leave = traffic["patience"], traffic["leave"]
             for trouble in day.during("give_up", at):
                 share, leave = trouble.patience, trouble.leave
--- a/gannetfront/script.py
+++ b/gannetfront/script.py
@@ -13,12 +13,14 @@
     "fleet": dict(nodes=(WHOLE, 12, 1, 2000), cores=(WHOLE, 2, 1, 64), speed=(NUMBER, 1.0, 0.01, 100),
                   queue=(WHOLE, 24, 0, 100000), cold=(NUMBER, 0.4, 0.01, 1), cold_for=(NUMBER, 3000, 0, 600000),
                   boot=(NUMBER, 400, 0, 60000), told=(NUMBER, 200, 0, 60000), cell=(WHOLE, 4, 1, 2000),
-                  cancelled=(TEXT, "stops", None, None), errors=(NUMBER, 0.0, 0, 1), spread=(NUMBER, 0.1, 0, 0.9)),
+                  cancelled=(TEXT, "stops", None, None), errors=(NUMBER, 0.0, 0, 1), spread=(NUMBER, 0.1, 0, 0.9),
+                  warm_by=(TEXT, "time", None, None), thrash=(NUMBER, 0.02, 0, 1), connections=(NUMBER, 0.0, 0, 1),
+                  report_every=(NUMBER, 0, 0, 60000), report_noise=(NUMBER, 0.0, 0, 1)),
     "traffic": dict(rate=(NUMBER, 120, 0.1, 100000), retries=(WHOLE, 1, 0, 10), backoff=(NUMBER, 150, 0, 60000),
                     honour=(NUMBER, 0.8, 0, 1), patience=(NUMBER, 0.7, 0.01, 1), keys=(WHOLE, 500, 0, 10**6),
                     leave=(NUMBER, 0.0, 0, 1), body=(WHOLE, 64, 0, 10**6)),
     "operation": dict(effect=(TEXT, REQUIRED, None, None), share=(NUMBER, REQUIRED, 0, 1), work=(NUMBER, 60, 0.01, 60000),
-                      cv=(NUMBER, 0.7, 0, 5), slo=(NUMBER, 1000, 1, 600000), limit=(NUMBER, 3000, 1, 600000),
+                      cv=(NUMBER, 0.7, 0, 5), law=(TEXT, "lognormal", None, None), slo=(NUMBER, 1000, 1, 600000), limit=(NUMBER, 3000, 1, 600000),
                       value=(NUMBER, 1, 0, 10**6), late=(NUMBER, 0.2, 0, 1), window=(NUMBER, 0, 0, 10**8),
                       group=(TEXT, "all", None, None)),
     "tenant": dict(portion=(NUMBER, REQUIRED, 0, 1)),
@@ -32,15 +34,18 @@
                   multiple=(NUMBER, 3, 1, 100), overload_for=(NUMBER, 1000, 1, 60000), advice=(NUMBER, 1000, 0, 600000),
                   sends=(WHOLE, 4, 1, 16), cross=(NUMBER, 0.0, 0, 1)),
 }
+PICK = dict(zone=(TEXT, "", None, None), build=(WHOLE, 0, 0, 65535))     # only nodes there, only of that build
 KINDS = {   # trouble -> fact -> (form, default, least, most)
     "burst": dict(x=(NUMBER, 1.8, 0, 100)),
-    "crash": dict(share=(NUMBER, 0.15, 0, 1)),
-    "vanish": dict(share=(NUMBER, 0.1, 0, 1)),
-    "slow": dict(share=(NUMBER, 0.2, 0, 1), x=(NUMBER, 3, 0.01, 1000)),
-    "fast_errors": dict(share=(NUMBER, 0.2, 0, 1), p=(NUMBER, 0.6, 0, 1)),
+    "crash": dict(share=(NUMBER, 0.15, 0, 1), **PICK),
+    "vanish": dict(share=(NUMBER, 0.1, 0, 1), **PICK),
+    "pause": dict(share=(NUMBER, 0.2, 0, 1), ms=(NUMBER, 800, 1, 600000), every=(NUMBER, 4000, 10, 10**6), **PICK),
+    "leak": dict(share=(NUMBER, 0.2, 0, 1), x=(NUMBER, 4, 1, 1000), **PICK),
+    "slow": dict(share=(NUMBER, 0.2, 0, 1), x=(NUMBER, 3, 0.01, 1000), **PICK),
+    "fast_errors": dict(share=(NUMBER, 0.2, 0, 1), p=(NUMBER, 0.6, 0, 1), **PICK),
     "heavy_tail": dict(operation=(TEXT, REQUIRED, None, None), p=(NUMBER, 0.02, 0, 1), x=(NUMBER, 12, 1, 1000)),
     "hot_caller": dict(proxy=(WHOLE, 0, 0, 9999), share=(NUMBER, 0.5, 0, 1)),
-    "neighbour": dict(share=(NUMBER, 0.3, 0, 1), x=(NUMBER, 2, 0.01, 1000), every=(NUMBER, 2000, 10, 10**6)),
+    "neighbour": dict(share=(NUMBER, 0.3, 0, 1), x=(NUMBER, 2, 0.01, 1000), every=(NUMBER, 2000, 10, 10**6), **PICK),
     "report_late": dict(ms=(NUMBER, 1500, 0, 60000)),
     "shared_slow": dict(x=(NUMBER, 1.8, 0.01, 1000)),
     "shift": dict(zone=(TEXT, REQUIRED, None, None), share=(NUMBER, 0.8, 0, 1)),
@@ -53,8 +58,12 @@
     "balancer_roll": dict(share=(NUMBER, 1, 0, 1)),
     "kill": dict(proxy=(WHOLE, 0, 0, 9999)),
     "cut": dict(share=(NUMBER, 1, 0, 1)),
-    "drain": dict(share=(NUMBER, 0.1, 0, 1)),
+    "drain": dict(share=(NUMBER, 0.1, 0, 1), **PICK),
 }
+ENDS = "crash", "vanish", "pause", "drain"      # a node can only be in one of these at a time
+CHOICES = dict(cancelled=("stops", "goes-on"), warm_by=("time", "work"), law=("lognormal", "exp", "pareto"),
+               effect=("idempotent", "fingerprinted", "side-effecting"), group=("all", "zone", "cell"))
+FORMAT = 1
 FORMS = {"good": 1.0, "errors": 0.4, "class": 0.7, "slow": 3.0, "load": 0.5, "late": 0.6, "shared": 2.0}
 
 
@@ -95,6 +104,9 @@
                 form = (WHOLE, 0, 0, 2**63) if verb == "seed" else (WHOLE, 0, 1, 86400)
                 value = self.value(verb, form, rest[0] if len(rest) == 1 else "")
                 setattr(self, {"day": "seconds"}.get(verb, verb), value)
+            elif verb == "format":
+                if rest != [str(FORMAT)]:
+                    self.fail(f"format {' '.join(rest) or '?'} is not the one read here, {FORMAT}: its seed would draw another day")
             elif verb == "zones":
                 self.zones = rest
             elif verb in ("operation", "tenant"):
@@ -156,6 +168,9 @@
             if not eq or name not in known:
                 self.fail(f"'{word}': known here: {', '.join(known)}")
             got[name] = self.value(name, known[name], text)
+        for name in CHOICES.keys() & got.keys():
+            if got[name] is not REQUIRED and got[name] not in CHOICES[name]:
+                self.fail(f"{name}: '{got[name]}' is none of {', '.join(CHOICES[name])}")
         missing = [name for name, value in got.items() if value is REQUIRED]
         if missing:
             self.fail(f"{missing[0]}= is needed")
@@ -174,19 +189,29 @@
         if len(rest) < 4 or rest[1] != "for" or rest[3] not in KINDS:
             self.fail(f"at SECOND for SECONDS {'|'.join(KINDS)} [fact=...]")
         at, span = (self.value(n, (NUMBER, 0, 0, 86400), t) * 1000 for n, t in (("at", rest[0]), ("for", rest[2])))
+        if not span:
+            self.fail(f"{rest[3]} lasts no time")
         self.troubles.append(Trouble(rest[3], at, at + span, self.facts(KINDS[rest[3]], rest[4:]), number))
 
     def check(self):
         for trouble in self.troubles:
             self.line = trouble.nth
             for name, table in (("operation", self.operations), ("tenant", self.tenants), ("zone", self.zones)):
-                if hasattr(trouble, name) and getattr(trouble, name) not in table:
+                if getattr(trouble, name, "") and getattr(trouble, name) not in table:
                     self.fail(f"{trouble.kind}: no {name} '{getattr(trouble, name)}'")
             if hasattr(trouble, "proxy") and trouble.proxy >= self.proxies:
                 self.fail(f"{trouble.kind}: no proxy {trouble.proxy} among {self.proxies}")
             if trouble.at >= self.seconds * 1000:
                 self.fail(f"{trouble.kind} begins after the day's end")
+            if getattr(trouble, "build", 0) > 1 + len(self.offers):
+                self.fail(f"{trouble.kind}: build {trouble.build} is never offered")
             for other in self.troubles:
+                if (other.kind in ENDS and trouble.kind in ENDS and other.nth < trouble.nth
+                        and other.at < trouble.until and trouble.at < other.until):
+                    both = self.hit(trouble) & self.hit(other)
+                    if both:
+                        self.fail(f"{trouble.kind} strikes nodes {sorted(both)} that {other.kind} of line {other.nth} "
+                                  f"already has from {other.at / 1000:g} to {other.until / 1000:g}")
                 if (other is not trouble and other.kind == trouble.kind == "kill" and other.proxy == trouble.proxy
                         and other.at <= trouble.at < other.until):
                     self.fail(f"proxy {trouble.proxy} is already down since line {other.nth}")
@@ -207,6 +232,12 @@
         many = min(count, max(1, round(trouble.share * count))) if trouble.share > 0 else 0
         return set(host.chance(self.seed, 11, trouble.nth).permutation(count)[:many].tolist())
 
+    def hit(self, trouble):
+        """Places of the fleet at rest that a trouble strikes, by its share and zone."""
+        struck = self.struck(trouble, self.fleet["nodes"]) if hasattr(trouble, "share") else set(range(self.fleet["nodes"]))
+        zone = getattr(trouble, "zone", "")
+        return {n for n in struck if not zone or self.zones[n % len(self.zones)] == zone}
+
     def power(self):
         """Work the whole fleet can do, ms of work a ms."""
         return self.fleet["nodes"] * self.fleet["cores"] * self.fleet["speed"]
