--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -183,6 +183,10 @@
         self.ver, self.stage, self.cap, self.phase, self.told = ver, stage, cap, phase, True
         self.sort_pools()
 
+    def tenants_listed(self, tenants):
+        """Portions by number, as the directory has them now; a number stays with its tenant or group."""
+        self.tenants = tenants
+
     begun = timer = probed = lambda self, *fields: None
 
     def tally(self, attempts, since, bad, took, op, build):
--- a/gannetfront/proxy/clients.py
+++ b/gannetfront/proxy/clients.py
@@ -1,18 +1,20 @@
 """The client side of the proxy: requests read, held while the decisions work, answered once."""
 from .. import host
 from ..interface import SUCCEEDED
+from ..tenants.tenancy import LATER, UNKNOWN
 from ..wire import http, invocation
 
 PIPELINED = 16      # requests read ahead on one connection; its reading then pauses
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LATER_IN = 1000.0       # ms after which one that waits for a younger view may come back
 WRITE_LIMIT = 5000.0    # a client that does not read its answer for so long is cut off
 
 
 class Clients:
-    def __init__(self, rounds, operations, tenants, limits, margins, read_limit, idle_limit, inside, log):
-        """`operations` and `tenants` map names in bytes to an index, `limits` are bytes of header and body,
-        `margins[op]` is (time limit, margin) in ms; `inside(path)` answers what is asked of the proxy itself."""
-        self.rounds, self.operations, self.tenants, self.limits = rounds, operations, tenants, limits
+    def __init__(self, rounds, operations, admit, limits, margins, read_limit, idle_limit, inside, log):
+        """`operations` maps names in bytes to an index; `admit(tenant, op)` gives (verdict of tenancy.py, number);
+        `limits` are bytes of header and body; `margins[op]` is (time limit, margin) in ms; `inside(path)` answers what is asked of the proxy itself."""
+        self.rounds, self.operations, self.admit, self.limits = rounds, operations, admit, limits
         self.margins, self.read_limit, self.idle_limit, self.inside = margins, read_limit, idle_limit, inside
         self.log, self.stopping, self.open, self.busy = log, False, set(), set()
 
@@ -79,13 +81,19 @@
             return (*self.inside(url, keep), False, None)
         keep = keep and not self.stopping
         try:
-            op, tenant, key, mark, patience = invocation.asked(method, url, headers, self.operations, self.tenants)
+            op, name, key, mark, patience = invocation.asked(method, url, headers, self.operations)
+            verdict, tenant = self.admit(name, op)
+            if verdict == UNKNOWN:
+                raise http.BadRequest(403, "Gannet-Tenant names no tenant here")
         except http.BadRequest as bad:
             return invocation.rejected(bad), False, False, None
         limit, margin = self.margins[op]
         left = min(patience or limit, limit) - margin - (host.now() - came)
         if self.stopping:
             return invocation.throttled(0, False, b"throttled: this proxy is stopping\n"), False, False, None
+        if verdict == LATER:
+            # Nothing ran, and the directory may know better soon.
+            return invocation.throttled(LATER_IN, keep, b"throttled: the list of tenants is too old for this\n"), keep, False, None
         held = self.rounds.take(op, tenant, key, max(0.0, left), url, headers, body)
         if held is None:
             return invocation.throttled(0, keep, b"throttled: too much is held here\n"), keep, False, None
--- a/gannetfront/proxy/links.py
+++ b/gannetfront/proxy/links.py
@@ -7,14 +7,12 @@
 ALIVE, LOST = 1000.0, 4000.0    # says something this often; a peer silent for so long is gone
 
 
-class ControlLink:
-    """Keeps one stream to the controller. What it is told becomes events for `tell`; votes get their answer from
-    there, from the clock (`answer_wait`) or at once when the link is down."""
+class StreamLink:
+    """Keeps one stream of frames to `to`; what comes is given to `on_<name>`. Names it by `what` in the log."""
 
-    def __init__(self, me, to, kept, answer_wait, tell, log, signal_address, on_peers, chance, on_list):
-        self.me, self.to, self.kept, self.answer_wait, self.tell, self.log = me, to, kept, answer_wait, tell, log
-        self.signal_address, self.on_peers, self.chance, self.on_list = signal_address, on_peers, chance, on_list
-        self.out, self.waiting, self.number, self.up = None, {}, 0, False
+    def __init__(self, to, log, chance, what):
+        self.to, self.log, self.chance, self.what = to, log, chance, what
+        self.out, self.up = None, False
 
     def run(self):
         wait = 50.0
@@ -22,7 +20,7 @@
             try:
                 stream = host.connect(self.to, 1000)
             except host.Refused as trouble:
-                self.log.info("control unreachable", why=trouble.kind)
+                self.log.info(f"{self.what} unreachable", why=trouble.kind)
             else:
                 wait = 50.0 if self.talk(stream) else wait
             # Spread, so that hundreds of proxies cut off together do not come back together.
@@ -33,33 +31,37 @@
         """One stream until it breaks; True if it was of use."""
         reader, heard = frames.FrameReader(), False
         self.out = out = host.Mailbox(1024)
-        out.put(frames.pack(hello=c.Hello(role=c.PROXY, id=str(self.me), revision=self.kept.revision,
-                                          epoch=self.kept.epoch, signal_address=self.signal_address)))
+        out.put(frames.pack(hello=self.hello()))
         writer = host.spawn(self.write, stream, out)
         self.up = True
         try:
             while True:
                 data = stream.recv(65536, LOST)
                 if not data:
-                    self.log.info("control closed")
+                    self.log.info(f"{self.what} closed")
                     break
                 for name, message in reader.feed(data):
                     heard = True
                     getattr(self, "on_" + name, self.on_other)(message)
         except host.Late:
-            self.log.warning("control silent", for_ms=LOST)
+            self.log.warning(f"{self.what} silent", for_ms=LOST)
         except frames.BadFrame as trouble:
-            self.log.error("control sent garbage", why=str(trouble))
+            self.log.error(f"{self.what} sent garbage", why=str(trouble))
         except OSError as trouble:
-            self.log.info("control broke", why=str(trouble))
+            self.log.info(f"{self.what} broke", why=str(trouble))
         finally:
             self.up = False
             stream.close()
             host.stop(writer)
-            for number in list(self.waiting):
-                self.answered(number, TIMEOUT)      # it may have been heard
+            self.lost()
         return heard
 
+    def lost(self):
+        """The stream has ended."""
+
+    def on_other(self, message):
+        """Of a later version: passed over."""
+
     def write(self, stream, out):
         try:
             while True:
@@ -67,13 +69,25 @@
         except (OSError, host.Late):
             stream.close()
 
-    # ---- what is told ----
+class ControlLink(StreamLink):
+    """To the controller: what it is told becomes events for `tell`; votes get their answer from there, from the clock
+    (`answer_wait`) or at once when the link is down."""
 
-    def on_list(self, message):
-        raise NotImplementedError
+    def __init__(self, me, to, kept, answer_wait, tell, log, signal_address, on_peers, chance, on_list):
+        super().__init__(to, log, chance, "control")
+        self.me, self.kept, self.answer_wait, self.tell = me, kept, answer_wait, tell
+        self.signal_address, self.on_peers, self.on_list = signal_address, on_peers, on_list
+        self.waiting, self.number = {}, 0
 
-    def on_other(self, message):
-        pass
+    def hello(self):
+        return c.Hello(role=c.PROXY, id=str(self.me), revision=self.kept.revision, epoch=self.kept.epoch,
+                       signal_address=self.signal_address)
+
+    def lost(self):
+        for number in list(self.waiting):
+            self.answered(number, TIMEOUT)      # it may have been heard
+
+    # ---- what is told ----
 
     def on_refusal(self, message):
         self.log.error("control refuses", why=message.why)
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -12,6 +12,7 @@
 from .links import ControlLink, Signals
 from .pools import Pools
 from .rounds import Rounds
+from .tenants import Listed, Tenants
 
 
 class Proxy:
@@ -26,14 +27,14 @@
         self.rounds.refill = self.refill
         self.ops = [o.name for o in fleet.operation]
         operations = {o.name.encode(): n for n, o in enumerate(fleet.operation)}
-        tenants = {t.name.encode(): n for n, t in enumerate(fleet.tenant)}
-        self.clients = Clients(self.rounds, operations, tenants, (mine.header_limit, mine.body_limit),
+        self.tenants = (Tenants(mine, facts, self.rounds.tell, log, host.chance(mine.seed, 4)) if mine.tenants
+                        else Listed(fleet.tenant))
+        self.clients = Clients(self.rounds, operations, self.tenants.admit, (mine.header_limit, mine.body_limit),
                                [(o.time_limit, mine.answer_margin) for o in fleet.operation],
                                mine.read_limit, mine.idle_limit, self.inside, log)
         self.signals = Signals(mine.me, mine.signal_listen, self.rounds.tell)
         self.link = ControlLink(mine.me, mine.control, self.kept, facts.rollout.answer_wait, self.told, log,
-                                self.signals.port.where, self.signals.on_peers, host.chance(mine.seed, 1), None)
-        self.link.on_list, self.link.on_peers = self.on_list, self.signals.on_peers
+                                self.signals.port.where, self.signals.on_peers, host.chance(mine.seed, 1), self.on_list)
         self.rounds.link, self.rounds.signals = self.link, self.signals
         self.dirty, self.done = False, host.Once()
         self.most_clients, self.listen = mine.most_clients, mine.listen
@@ -67,6 +68,7 @@
         self.rounds.tell("listed", "whole", entries)
         if self.stage:
             self.rounds.tell("stage_told", *self.stage)
+        self.tenants.refill()
 
     def read_kept(self):
         data = host.read_file(self.state_file)
@@ -80,6 +82,7 @@
         while True:
             host.sleep(250)
             self.pools.sweep(self.kept.nodes)
+            self.tenants.keep()
             if self.dirty:
                 self.dirty = False
                 try:
@@ -133,6 +136,8 @@
                 ("clients", "client connections", len(self.clients.open)),
                 ("node_connections", "connections to nodes", self.pools.size()),
                 ("nodes", "nodes listed", len(self.kept.nodes)), ("control_up", "link to the controller", self.link.up),
+                ("tenant_view", "view of tenants in force", self.tenants.number()),
+                ("tenant_view_age_ms", "since the directory confirmed it", min(1e12, self.tenants.age())),
                 ("list_revision", "list held", self.kept.revision),
                 ("decision_ms", "time spent in decisions", rounds.spent), ("rounds", "rounds", rounds.rounds)):
             yield GaugeMetricFamily("gannet_" + name, what, value=value)
@@ -145,7 +150,7 @@
         self.read_kept()
         self.listener = host.Listener(self.listen)
         self.greenlets = [host.spawn(call) for call in (
-            self.rounds.run, self.link.run, self.signals.run, self.keep, *([self.send_counts] if self.period else []))]
+            self.rounds.run, self.link.run, self.signals.run, self.keep, *self.tenants.start(), *([self.send_counts] if self.period else []))]
         self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log, self.most_clients))
         self.log.info("serving", at=self.listener.where, signals=self.signals.port.where, nodes=len(self.kept.nodes))
 
--- a/gannetfront/release/serve.py
+++ b/gannetfront/release/serve.py
@@ -21,10 +21,13 @@
 
 
 class Controller:
-    def __init__(self, fleet, mine, rollout, size, log, late=lambda: 0.0, told=None, epoch=1):
+    def __init__(self, fleet, mine, rollout, size, log, late=lambda: 0.0, told=None):
         """`late()` is how long news waits before it is told (a script's doing); `told(at, proxy, message)` is called
         as each list or stage leaves for a proxy; `rollout` is an interface.Rollout."""
-        self.logger, self.late, self.record, self.epoch = log, late, told or (lambda *x: None), epoch
+        self.logger, self.late, self.record = log, late, told or (lambda *x: None)
+        # Revisions begin anew with the process: under the epoch of an earlier one a proxy would take its old list for
+        # this one's, where the numbers happen to agree.
+        self.epoch = int(host.wall() * 1000)
         rollout.__dict__["vote_allowance"] = fleet.rollout.vote_allowance
         self.stages = Stages(rollout, size, len(fleet.zone), 4)
         self.drain, self.most_queue, self.lost = fleet.rollout.drain, mine.link_queue, mine.lost_after
--- a/gannetfront/wire/invocation.py
+++ b/gannetfront/wire/invocation.py
@@ -18,10 +18,10 @@
 KEY_LIMIT = 256     # bytes of a mark, key or tenant
 
 
-def asked(method, url, headers, operations, tenants):
-    """(operation index, tenant index, key, mark, patience in ms or None); raises BadRequest.
+def asked(method, url, headers, operations):
+    """(operation index, tenant or None, key, mark, patience in ms or None); raises BadRequest.
 
-    `operations` and `tenants` map names in bytes to an index; without tenants every caller is tenant 0."""
+    `operations` maps names in bytes to an index."""
     name = url.split(b"?", 1)[0][1:]
     if name not in operations:
         known = b", ".join(operations).decode()
@@ -30,8 +30,6 @@
         raise BadRequest(405, "an invocation is a POST")
     told = dict(headers)
     tenant = told.get(b"gannet-tenant")
-    if tenants and tenant not in tenants:
-        raise BadRequest(403, "Gannet-Tenant names no tenant of this fleet")
     patience = told.get(b"gannet-patience-ms")
     if patience is not None:
         try:
@@ -46,7 +44,7 @@
         if value is not None and not 0 < len(value) <= KEY_LIMIT:
             raise BadRequest(400, f"{what} must have 1 to {KEY_LIMIT} bytes")
     text = None if key is None else key.decode("latin-1")
-    return operations[name], tenants[tenant] if tenants else 0, text, mark, patience
+    return operations[name], tenant, text, mark, patience
 
 
 def onward(headers):
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -356,6 +356,14 @@
     assert one.ask()[2].body == b"two" and one.log.said("proxy here")[-1]["missed"] == 2
 
 
+def test_controller_restarted_with_another_list_is_believed(rig, tmp_path):
+    one = rig(Node(ok(b"old")))
+    one.until(lambda: (tmp_path / "kept").exists() and not one.proxy.dirty)
+    one.close()
+    again = rig(Node(ok(b"new")))       # another list under the same revision, met with the kept one on disk
+    assert again.ask()[2].body == b"new"
+
+
 def test_history_gone_means_the_whole_list(rig):
     one = rig(Node())
     one.controller.history_size = 2
