--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from heapq import heappop
 from pathlib import Path
 
 import pytest
@@ -162,6 +163,17 @@
     assert not any(stories for _, stories in verdict.values()), verdict
 
 
+def test_news_of_the_controller_keeps_its_order():
+    world, got = World(day(), jitter=50.0), []
+    shell = world.proxies[0]
+    for n in range(50):
+        shell.news(world.wire(), got.append, n)
+    while world.heap:
+        world.time, _, call, fields = heappop(world.heap)
+        call(*fields)
+    assert got == list(range(50))
+
+
 # ---- scripts that contradict themselves ----
 
 @pytest.mark.parametrize("lines, wrong", [
