--- a/gannetfront/audit/rules.py
+++ b/gannetfront/audit/rules.py
@@ -64,7 +64,7 @@
                     yield f"{t['answer']} after {took:.0f} ms: {at}; {self.story(t['request'])}"
             elif t["answer"] in ("none", "reset") and not self.died_within(t["proxy"], t["sent"], t["ended"]):
                 yield f"no answer ({t['answer']}): {at}; {self.story(t['request'])}"
-            elif t["answer"] == "other":
+            elif t["answer"] == "other" and t["status"] != 403:     # whom the directory does not know: admission.py
                 yield f"an answer that is none of three (status {t['status']}): {at}"
 
     # ---- 2: no effect twice ----
--- a/gannetfront/cli/audit.py
+++ b/gannetfront/cli/audit.py
@@ -5,6 +5,7 @@
 import click
 
 from .. import records
+from ..audit import admission
 from ..audit.rules import Judge, service
 from ..config import schema_pb2 as schema
 from .common import settings
@@ -13,7 +14,7 @@
          "cold": "no cold node pushed over", "exposure": "exposure within the cap"}
 
 
-def judge(folder, grace=20.0, slack=60.0):
+def judge(folder, grace=20.0, slack=60.0, allow=2000.0):
     """(verdict, facts) of a day's folder."""
     fleet = settings(schema.Fleet, f"{folder}/fleet.textproto")
     tables = {name: records.read(folder, name) for name in records.TABLES}
@@ -30,6 +31,7 @@
         ends={f"{op} {answer}": n for (op, answer), n in sorted(ends.items())},
         builds={str(b): {o: n for (x, o), n in sorted(builds.items()) if x == b} for b in sorted({b for b, _ in builds})},
         phases={str(b): ("trial", "going back", "released", "withdrawn")[p] for b, p in sorted(phases.items())})
+    facts["admission"] = admission.judge(tables["tries"], tables["events"], allow)
     return one.verdict(), facts
 
 
@@ -46,8 +48,15 @@
     for build, outcomes in facts["builds"].items():
         lines.append(f"build {build} ({facts['phases'].get(build, 'at rest')}): "
                      + ", ".join(f"{o} {n}" for o, n in outcomes.items()))
+    if facts.get("admission"):
+        checked, wrong = facts["admission"]
+        broken_too = 1 if wrong else 0
+        lines.append(f"admission by the directory: {checked} checked, {len(wrong)} wrong")
+        lines += [f"    {story}" for story in wrong[:most]]
+    else:
+        broken_too = 0
     lines.append(f"rules kept {len(verdict) - broken}/5" + (f"; too thin to judge: {', '.join(thin)}" if thin else ""))
-    return lines, 1 if broken else 2 if thin else 0
+    return lines, 1 if broken or broken_too else 2 if thin else 0
 
 
 @click.command()
--- a/gannetfront/cli/day.py
+++ b/gannetfront/cli/day.py
@@ -32,7 +32,7 @@
         Day(day, script_file, records).play()
     except Failed as trouble:
         raise SystemExit(complain(f"{script_file}: {trouble}"))
-    verdict, facts = judge(records)
+    verdict, facts = judge(records, allow=day.directory["allow"] if day.directory else 0.0)
     lines, status = report(verdict, facts)
     for nth, offer in enumerate(day.offers):
         lines.insert(-1, f"build {nth + 2} was {'good' if not offer.bad else 'bad: ' + offer.form}; "
--- a/gannetfront/cli/kitchen.py
+++ b/gannetfront/cli/kitchen.py
@@ -50,6 +50,25 @@
              late_ms=dict(median=lags[len(lags) // 2], most=lags[-1]) if lags else None)
 
 
+@main.command()
+@click.argument("script_file", type=click.Path(dir_okay=False))
+@click.option("--records", required=True, type=click.Path(file_okay=False, exists=True))
+@click.option("--start", type=float)
+@click.option("--ready-file", type=click.Path())
+@click.option("--log-level", default="info", show_default=True)
+def directory(script_file, records, start, ready_file, log_level):
+    """Run the stand-in directory of SCRIPT_FILE until a signal."""
+    from ..kitchen.scripted_directory import Scripted
+    log, day = logs("gannet-directory", log_level), day_of(script_file)
+    if not day.directory:
+        raise SystemExit(complain(f"{script_file}:1: there is no 'directory' in this script"))
+    one = Scripted(day, records, host.now() if start is None else start, log)
+    if ready_file:
+        host.replace_file(ready_file, one.directory.at.encode())
+    host.on_signal(("SIGTERM", "SIGINT"), one.close)
+    one.done.wait()
+
+
 def digest(timeline):
     return xxhash.xxh64(repr(timeline).encode()).hexdigest()
 
--- a/gannetfront/day/play.py
+++ b/gannetfront/day/play.py
@@ -21,6 +21,7 @@
         self.day, self.script, self.folder, self.env = day, str(script_file), Path(folder), env or {}
         self.folder.mkdir(parents=True, exist_ok=True)
         self.processes, self.proxies, self.sockets, self.stopped = {}, {}, {}, set()
+        self.views = None
 
     def start(self, name, module, *words):
         log = open(self.folder / f"{name}.log", "ab")
@@ -57,6 +58,8 @@
             self.start("release", "release", "run", fleet, self.folder / "controller.textproto", "--script", self.script,
                        *facts, "--ready-file", self.folder / "release.ready")
             self.control = self.ready("release")
+            if self.day.directory:
+                self.directory(facts)
             self.start("kitchen", "kitchen", "run", self.script, "--control", self.control, *facts)
             for n in range(self.day.proxies):
                 self.write_proxy(n, "127.0.0.1:0")
@@ -82,6 +85,18 @@
             self.stop()
             self.events.close()
 
+    def directory(self, facts):
+        """The stand-in directory and the one reader of it, before the proxies that come for views."""
+        self.start("directory", "kitchen", "directory", self.script, *facts, "--ready-file", self.folder / "directory.ready")
+        at, d = self.ready("directory"), self.day.directory
+        (self.folder / "directory.textproto").write_text(
+            f'address: "{at}"\ntenants_base: "ou=tenants,dc=day"\ntenants_filter: "(uid=*)"\ngroups_base: "ou=groups,dc=day"\n'
+            f'portion: "portion"\nsync: {"true" if d["sync"] else "false"}\npoll_every: {d["poll"]:g}\nsweep_every: 2\n'
+            f'answer_limit: 3000\nstate_file: "{self.folder / "tenants.kept"}"\n')
+        self.start("tenants", "tenants", "run", self.folder / "directory.textproto", "--ready-file",
+                   self.folder / "tenants.ready")
+        self.views = self.ready("tenants")
+
     def alive(self):
         for name, one in self.processes.items():
             if name != "load" and one.poll() is not None and name not in self.stopped:
@@ -90,7 +105,8 @@
     def write_proxy(self, n, listen):
         (self.folder / f"proxy{n}.textproto").write_text(
             f'me: {n}\nzone: "{self.day.zones[n % len(self.day.zones)]}"\nlisten: "{listen}"\n'
-            f'control: "{self.control}"\nstate_file: "{self.folder / f"proxy{n}.kept"}"\nseed: {self.day.seed * 1000 + n}\n')
+            f'control: "{self.control}"\nstate_file: "{self.folder / f"proxy{n}.kept"}"\nseed: {self.day.seed * 1000 + n}\n'
+            + (f'tenants: "{self.views}"\ntenants_file: "{self.folder / f"proxy{n}.view.kept"}"\n' if self.views else ""))
 
     def start_proxy(self, n):
         self.start(f"proxy{n}", "proxy", "run", self.folder / "fleet.textproto", self.folder / f"proxy{n}.textproto",
@@ -128,7 +144,7 @@
 
     def stop(self):
         """Proxies first, so that what they still hold finds its nodes."""
-        for kind in ("proxy", "load", "kitchen", "release"):
+        for kind in ("proxy", "load", "kitchen", "tenants", "directory", "release"):
             some = [one for name, one in self.processes.items() if name.startswith(kind) and one.poll() is None]
             for one in some:
                 one.send_signal(signal.SIGTERM)
--- a/gannetfront/lab/world.py
+++ b/gannetfront/lab/world.py
@@ -171,7 +171,7 @@
             a, world = self.arrival, self.world
             left = max(0.0, min(self.patience, self.intent.op["limit"]) - MARGIN - world.near)
             self.held = self.shell.carrier.take(
-                world.op_of[a.operation], world.tenant_of[a.tenant] if a.tenant else 0, a.key or None,
+                world.op_of[a.operation], world.tenant_of.get(a.tenant.rpartition("-")[0] or a.tenant, world.tenant_of.get(a.tenant, 0)) if a.tenant else 0, a.key or None,
                 world.time + left, left, self)
             self.shell.poke()
 
--- a/gannetfront/load/arrivals.py
+++ b/gannetfront/load/arrivals.py
@@ -34,6 +34,10 @@
         for _ in range(chance.poisson(traffic["rate"] * x * more * STEP / 1000)):
             name = names[chance.choice(len(names), p=shares)]
             tenant = tenants[chance.choice(len(tenants), p=[w / more for w in weights])] if tenants else ""
+            if tenant and day.tenants[tenant]["members"]:
+                tenant = f"{tenant}-{int(chance.integers(day.tenants[tenant]['members']))}"
+            if traffic["intruders"] and chance.random() < traffic["intruders"]:
+                tenant = "nobody"
             proxy = int(chance.integers(day.proxies))
             for trouble in day.during("hot_caller", at):
                 if chance.random() < trouble.share:
--- a/gannetfront/script.py
+++ b/gannetfront/script.py
@@ -18,12 +18,13 @@
                   report_every=(NUMBER, 0, 0, 60000), report_noise=(NUMBER, 0.0, 0, 1)),
     "traffic": dict(rate=(NUMBER, 120, 0.1, 100000), retries=(WHOLE, 1, 0, 10), backoff=(NUMBER, 150, 0, 60000),
                     honour=(NUMBER, 0.8, 0, 1), patience=(NUMBER, 0.7, 0.01, 1), keys=(WHOLE, 500, 0, 10**6),
-                    leave=(NUMBER, 0.0, 0, 1), body=(WHOLE, 64, 0, 10**6)),
+                    leave=(NUMBER, 0.0, 0, 1), intruders=(NUMBER, 0.0, 0, 1), body=(WHOLE, 64, 0, 10**6)),
     "operation": dict(effect=(TEXT, REQUIRED, None, None), share=(NUMBER, REQUIRED, 0, 1), work=(NUMBER, 60, 0.01, 60000),
                       cv=(NUMBER, 0.7, 0, 5), law=(TEXT, "lognormal", None, None), slo=(NUMBER, 1000, 1, 600000), limit=(NUMBER, 3000, 1, 600000),
                       value=(NUMBER, 1, 0, 10**6), late=(NUMBER, 0.2, 0, 1), window=(NUMBER, 0, 0, 10**8),
                       group=(TEXT, "all", None, None)),
-    "tenant": dict(portion=(NUMBER, REQUIRED, 0, 1)),
+    "tenant": dict(portion=(NUMBER, REQUIRED, 0, 1), members=(WHOLE, 0, 0, 100000)),
+    "directory": dict(sync=(WHOLE, 1, 0, 1), poll=(NUMBER, 1000, 50, 10**6), allow=(NUMBER, 2000, 0, 10**6)),
     "rollout": dict(shares=(NUMBERS, (0.1, 0.4, 1.0), 0, 1), caps=(NUMBERS, (0.2, 0.8, 1.0), 0, 1),
                     soak=(NUMBER, 1500, 0, 10**7), window=(NUMBER, 3000, 100, 10**6), free=(NUMBER, 2, 0, 1000),
                     by_operation=(WHOLE, 0, 0, 1), guarded=(WHOLE, 0, 0, 100), on=(WHOLE, 1, 0, 10000),
@@ -59,6 +60,10 @@
     "kill": dict(proxy=(WHOLE, 0, 0, 9999)),
     "cut": dict(share=(NUMBER, 1, 0, 1)),
     "drain": dict(share=(NUMBER, 0.1, 0, 1), **PICK),
+    "directory_away": dict(), "directory_cut": dict(), "directory_forgets": dict(),
+    "directory_lag": dict(ms=(NUMBER, 500, 0, 600000)),
+    "tenant_gone": dict(tenant=(TEXT, REQUIRED, None, None), member=(WHOLE, 0, 0, 100000)),
+    "tenant_moved": dict(tenant=(TEXT, REQUIRED, None, None), member=(WHOLE, 0, 0, 100000), to=(TEXT, REQUIRED, None, None)),
 }
 ENDS = "crash", "vanish", "pause", "drain"      # a node can only be in one of these at a time
 CHOICES = dict(cancelled=("stops", "goes-on"), warm_by=("time", "work"), law=("lognormal", "exp", "pareto"),
@@ -90,12 +95,13 @@
     def __init__(self, text, file="script"):
         self.file, self.seconds, self.seed, self.proxies = file, 30.0, 1, 3
         self.zones, self.operations, self.tenants, self.offers, self.troubles, seen = [], {}, {}, [], [], {}
+        self.directory = None
         for self.file, self.line, words in self.lines(text, file):
             number = self.line
             if not words:
                 continue
             verb, *rest = words
-            if verb in ("fleet", "traffic", "rollout", "rules"):
+            if verb in ("fleet", "traffic", "rollout", "rules", "directory"):
                 if verb in seen:
                     self.fail(f"a second '{verb}', after line {seen[verb]}")
                 seen[verb] = number
@@ -203,6 +209,12 @@
                 self.fail(f"{trouble.kind}: no proxy {trouble.proxy} among {self.proxies}")
             if trouble.at >= self.seconds * 1000:
                 self.fail(f"{trouble.kind} begins after the day's end")
+            if trouble.kind.startswith(("directory_", "tenant_gone", "tenant_moved")) and not self.directory:
+                self.fail(f"{trouble.kind}: there is no 'directory' in this script")
+            if getattr(trouble, "to", None) and trouble.to not in self.tenants:
+                self.fail(f"{trouble.kind}: no tenant '{trouble.to}' to move to")
+            if hasattr(trouble, "member") and trouble.member >= self.tenants[trouble.tenant]["members"]:
+                self.fail(f"{trouble.kind}: '{trouble.tenant}' has {self.tenants[trouble.tenant]['members']} members")
             if getattr(trouble, "build", 0) > 1 + len(self.offers):
                 self.fail(f"{trouble.kind}: build {trouble.build} is never offered")
             for other in self.troubles:
@@ -232,6 +244,10 @@
         many = min(count, max(1, round(trouble.share * count))) if trouble.share > 0 else 0
         return set(host.chance(self.seed, 11, trouble.nth).permutation(count)[:many].tolist())
 
+    def members(self):
+        """[(id, its tenant line)] of all tenants that have members: what a directory holds."""
+        return [(f"{name}-{n}", name) for name, t in self.tenants.items() for n in range(t["members"])]
+
     def hit(self, trouble):
         """Places of the fleet at rest that a trouble strikes, by its share and zone."""
         struck = self.struck(trouble, self.fleet["nodes"]) if hasattr(trouble, "share") else set(range(self.fleet["nodes"]))
--- a/gannetfront/tenants/reader.py
+++ b/gannetfront/tenants/reader.py
@@ -93,7 +93,7 @@
             except OSError as trouble:
                 self.say("directory broke", why=str(trouble)[:200])
             self.state = "away"
-            wait = 100.0 if host.now() - begun > 5000 else min(10000.0, 1.6 * wait)
+            wait = 100.0 if host.now() - begun > 5000 else min(1000.0, 1.6 * wait)
             host.sleep(wait * (0.5 + self.chance.random()))
 
     def say(self, event, **facts):
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -497,3 +497,30 @@
                                              dict(capture_output=True, text=True, timeout=30))
     run.join()
     assert done.returncode == 1 and "6 tenants in 1 groups" in done.stdout and "uid=bad" in done.stdout, done.stderr
+
+
+# ---- who got in, as the judge sees it ----
+
+HERE = [dict(at=0.0, what="directory here", who="", detail="")]
+AWAY = [dict(at=100.0, what="directory away", who="", detail=""), dict(at=9000.0, what="directory here", who="", detail="")]
+
+
+def gone(at, what="tenant gone"):
+    return [dict(at=at, what=what, who="a-1", detail="")]
+
+
+@pytest.mark.parametrize("events, tenant, sent, answer, status, wrong", [
+    (HERE, "a-1", 10.0, "succeeded", 200, False), (HERE, "nobody", 10.0, "succeeded", 200, True),
+    (HERE, "nobody", 10.0, "other", 403, False), (HERE, "a-1", 10.0, "other", 403, True),
+    (HERE + gone(1000.0), "a-1", 1500.0, "succeeded", 200, False), (HERE + gone(1000.0), "a-1", 4000.0, "succeeded", 200, True),
+    (HERE + gone(1000.0), "a-1", 1500.0, "other", 403, False),
+    (HERE + AWAY + gone(1000.0), "a-1", 8000.0, "succeeded", 200, False),       # nobody could know
+    (HERE + AWAY + gone(1000.0), "a-1", 12000.0, "succeeded", 200, True),
+    (HERE + gone(1000.0) + gone(2000.0, "tenant here"), "a-1", 2500.0, "other", 403, False),
+    (HERE + gone(1000.0) + gone(2000.0, "tenant here"), "a-1", 9000.0, "other", 403, True)])
+def test_admission_is_judged(events, tenant, sent, answer, status, wrong):
+    from gannetfront.audit.admission import judge
+    checked, stories = judge([dict(request="1.0", tenant=tenant, sent=sent, ended=sent + 50, answer=answer, status=status)], events,
+                             2000.0)
+    assert checked == 1 and bool(stories) == wrong
+    assert judge([], [], 0.0) is None
