--- a/gannetfront/cli/proxy.py
+++ b/gannetfront/cli/proxy.py
@@ -47,6 +47,8 @@
             load.deployment(facts, mine.me, mine.zone, mine.wire_lag)
         except load.BadSetting as bad:
             raise SystemExit(complain(f"{proxy}:1: {bad}"))
+    for line in load.advice(facts):
+        click.echo(f"{fleet}: note: {line}")
     click.echo("fine")
 
 
--- a/gannetfront/config/load.py
+++ b/gannetfront/config/load.py
@@ -125,6 +125,24 @@
     return parse(kind, text, path)
 
 
+SEES = 10       # proxies past which one alone seldom meets enough outcomes of a new build: docs/studies/proxies.md
+
+
+def advice(fleet):
+    """What is allowed but seldom meant, a line each."""
+    r = fleet.rollout
+    if fleet.proxies > SEES and not fleet.may_signal and not r.tally_period:
+        yield (f"{fleet.proxies} proxies with neither may_signal nor rollout.tally_period: none alone sees enough of a new build to "
+               "vote, builds stay in their first stage")
+    if r.back_votes > max(1, fleet.proxies // 2):
+        yield f"rollout.back_votes: {r.back_votes} of {fleet.proxies} proxies must see a build fail before it goes back"
+    for op in fleet.operation:
+        if op.effect == "fingerprinted" and op.group != "all" and fleet.may_duplicate:
+            yield f"operation {op.name}: marks are shared by {op.group}, so copies stay within one {op.group}"
+        if op.effect == "fingerprinted" and op.window < op.time_limit:
+            yield f"operation {op.name}: marks are forgotten ({op.window:g} ms) before its clients give up ({op.time_limit:g} ms)"
+
+
 def explain():
     """One line a setting, from the schema: where, default, unit, range, text."""
     for kind in schema.DESCRIPTOR.message_types_by_name.values():
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -87,6 +87,13 @@
     assert str(bad.value).startswith(wrong) and "\n" not in str(bad.value)
 
 
+@pytest.mark.parametrize("change, said", [
+    ("proxies: 30", "none alone sees enough"), ("proxies: 30 may_signal: true", None), ("proxies: 3", None)])
+def test_what_is_seldom_meant_is_said(change, said):
+    fleet = load.parse(schema.Fleet, FLEET + change, "f")
+    assert [said in x for x in load.advice(fleet) if "window" not in x and "forgotten" not in x] == ([True] if said else [])
+
+
 def test_every_setting_is_explained():
     told = list(load.explain())
     assert len(told) > 50 and all(text for *_, text, _ in told)
