--- a/gannetfront/kitchen/directory.py
+++ b/gannetfront/kitchen/directory.py
@@ -14,7 +14,7 @@
 
     def __init__(self):
         self.lag, self.trickle, self.half_after = 0.0, 0, None     # ms an answer; bytes a second; bytes, then it breaks
-        self.refuse_bind, self.search_code, self.size_limit = None, None, None
+        self.refuse_bind, self.search_code, self.size_limit, self.range_limit = None, None, None, None
         self.forget_sync = self.garbage = self.silent = False
 
 
@@ -162,9 +162,17 @@
 
     def entry(self, ident, dn, attributes, controls=()):
         attrs = self.d.entries[dn][1]
-        wanted = [a for a in attributes if a.lower() in attrs]
-        self.put(ident, "entry", {"dn": dn.encode(), "attributes": [
-            {"type": a.encode(), "vals": attrs[a.lower()]} for a in wanted]}, controls)
+        rows, most = [], self.d.faults.range_limit
+        for asked in attributes:
+            name, _, span = asked.partition(";range=")
+            vals, at = attrs.get(name.lower()), int(span.partition("-")[0] or 0)
+            if vals and most and len(vals) > most:
+                part = vals[at:at + most]
+                last = "*" if at + most >= len(vals) else at + most - 1
+                rows.append({"type": f"{name};range={at}-{last}".encode(), "vals": part})
+            elif vals:
+                rows.append({"type": name.encode(), "vals": vals})
+        self.put(ident, "entry", {"dn": dn.encode(), "attributes": rows}, controls)
 
     def on_search(self, ident, value, controls):
         self.d.searches += 1
@@ -181,6 +189,8 @@
             self.sync(ident, m.SyncRequestValue.load(controls[m.SYNC_REQUEST]).native, base, filter, attributes)
             return
         found = [dn for dn in sorted(self.d.entries) if self.fits(dn, base, filter)]
+        if value["scope"].native == "base":
+            found = [dn for dn in found if dn.lower() == base.lower()]
         if faults.size_limit is not None and len(found) > faults.size_limit:
             for dn in found[:faults.size_limit]:
                 self.entry(ident, dn, attributes)
--- a/gannetfront/tenants/directory.py
+++ b/gannetfront/tenants/directory.py
@@ -37,6 +37,7 @@
         self.next, self.running, self.staged, self.present = 1, {}, {}, {}
         self.changed = self.confirmed = self.bound = False
         self.refreshed, self.referrals, self.incremental = set(), [], set()
+        self.rest, self.whole = {}, {}      # searches for further ranges; kinds that wait for them: all of it was named
 
     def send(self, name, value, controls=()):
         ident, self.next = self.next, self.next + 1
@@ -82,7 +83,7 @@
         return b"".join(self.search(kind, since=since) for kind in KINDS if kind in self.ask)
 
     def busy(self):
-        return bool(self.running)
+        return bool(self.running or self.rest)
 
     # ---- what comes back ----
 
@@ -112,7 +113,42 @@
         if len(self.referrals) < 16:
             self.referrals.append((value or [b""])[0].decode("utf-8", "replace"))
 
+    def ranged(self, kind, uuid, dn, attrs):
+        """Bytes that ask for the rest of attributes which the directory gives in ranges (`member;range=0-1499`)."""
+        out = b""
+        for name in [n for n in attrs if ";range=" in n]:
+            plain, _, span = name.partition(";range=")
+            last = span.partition("-")[2]
+            held = attrs.setdefault(plain, [])
+            held += attrs.pop(name)
+            if last == "*":
+                continue
+            if not last.isdigit() or len(held) > MOST_ENTRIES:
+                raise Ended("protocolError", f"a range '{span[:40]}'")
+            # By presence alone: the entry is known to be there, and may fit the filter no longer.
+            value = {"base": dn, "scope": "base", "deref": "never", "size_limit": 0, "time_limit": 0, "types_only": False,
+                     "filter": parse("(objectClass=*)"), "attributes": [f"{plain};range={int(last) + 1}-*".encode()]}
+            ident, data = self.send("search", value)
+            self.rest[ident] = kind, uuid, plain
+            out += data
+        return out
+
+    def on_rest(self, ident, dn, attrs):
+        kind, uuid, plain = self.rest[ident]
+        entry = self.staged[kind].get(uuid)
+        if entry is None:
+            return b""
+        more = {n: v for n, v in attrs.items() if n.partition(";")[0] == plain}
+        merged = {plain: entry[1].get(plain, []), **more}
+        if plain in more:
+            merged[plain] = entry[1].get(plain, []) + more[plain]
+        out = self.ranged(kind, uuid, dn, merged)
+        entry[1][plain] = merged[plain]
+        return out
+
     def on_entry(self, ident, value, controls):
+        if ident in self.rest:
+            return self.on_rest(ident, *value)
         kind = self.running.get(ident)
         if kind is None:
             return
@@ -139,6 +175,7 @@
             self.present[kind].add(uuid)
             if state != "present":
                 self.staged[kind][uuid] = dn, attrs
+                return self.ranged(kind, uuid, dn, attrs)
 
     def on_intermediate(self, ident, value, controls):
         kind = self.running.get(ident)
@@ -165,10 +202,17 @@
             self.only_deletes = info.name == "refresh_delete"
 
     def on_done(self, ident, value, controls):
+        code = value["code"]
+        if ident in self.rest:
+            kind = self.rest.pop(ident)[0]
+            if code not in ("success", "noSuchObject"):     # gone between the two looks: the next sweep says so
+                raise Ended(code, "in a range")
+            if kind in self.whole and not any(k == kind for k, *_ in self.rest.values()):
+                self.commit(kind, self.whole.pop(kind))
+            return
         kind = self.running.pop(ident, None)
         if kind is None:
             return
-        code = value["code"]
         if code == "syncRefreshRequired" and self.sync:
             # Its history no longer holds our cookie: all of it anew. What is known stays until that is whole.
             if self.known.cookies[kind] is None:
@@ -187,7 +231,10 @@
         paged = m.PagedValue.load(controls[m.PAGED]).native if controls.get(m.PAGED) else {"cookie": b""}
         if paged["cookie"]:
             return self.search(kind, paged["cookie"])
-        self.commit(kind, kind not in self.incremental)
+        if any(k == kind for k, *_ in self.rest.values()):
+            self.whole[kind] = kind not in self.incremental
+        else:
+            self.commit(kind, kind not in self.incremental)
 
     def note_cookie(self, kind, cookie):
         if cookie is not None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -68,6 +68,20 @@
     assert pace >= 500.0 and failing > 0
 
 
+def test_portions_change_while_counts_stay():
+    from gannetfront.balance import Invocation
+    stage = Stage({"tenants": ((0.5, 0.0), (0.5, 0.0)), "over_share_value": 0.1})
+    for line in ("server a", "take 30 look"):
+        stage.play(line)
+    one = stage.balancer
+    one.limit, mine = 31.0, Invocation(0, 1, None, one.now, one.now + 1000)
+    assert not one.crowded(mine)        # what came is over its portion and worth less: it gives way
+    before = dict(one.arrivals.counts)
+    stage.queue.append(("tenants_listed", ((1.0, 0.0), (0.5, 0.0))))
+    stage.flush()
+    assert one.crowded(mine) and one.arrivals.counts == before
+
+
 def test_codec_reports_a_bad_line():
     with pytest.raises(codec.BadLine, match="cannot read 'inbound x"):
         link = Link()
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -328,6 +328,16 @@
     p.until(lambda: len(p.view.members) == 5)
 
 
+def test_members_that_come_in_ranges_are_joined(place):
+    p = place(sync=False, member="member", member_of="", sweep_every=1)
+    names = [f"uid=t{n},ou=t,dc=x" for n in range(6)]
+    p.d.faults.range_limit = 2
+    p.d.change("cn=kitchens,ou=g,dc=x", cn="kitchens", portion="0.5", member=names)
+    p.until(lambda: p.view and all(g == "kitchens" for g, _ in p.view.members.values()))
+    p.d.change("cn=kitchens,ou=g,dc=x", cn="kitchens", portion="0.5", member=names[:3])
+    p.until(lambda: sorted(g for g, _ in p.view.members.values()) == ["-"] * 3 + ["kitchens"] * 3)
+
+
 def test_older_copy_never_replaces_a_newer_one(place):
     p = place(sync=False, sweep_every=1)
     p.until(lambda: p.view)
