--- a/gannetfront/cli/kitchen.py
+++ b/gannetfront/cli/kitchen.py
@@ -44,9 +44,9 @@
         host.later(one.start + day.seconds * 1000 - host.now(), one.close)
     one.done.wait()
     lags = sorted(abs(x) for x in one.lags)
-    for at, kind, begins, places in one.timeline:
+    for at, kind, begins, places in one.told_timeline():
         log.info("timeline", at_ms=at, kind=kind, begins=begins, nodes=places)
-    log.info("timeline ends", events=len(one.timeline), digest=digest(one.timeline),
+    log.info("timeline ends", events=len(one.timeline), digest=digest(one.told_timeline()),
              late_ms=dict(median=lags[len(lags) // 2], most=lags[-1]) if lags else None)
 
 
--- a/gannetfront/cli/lab.py
+++ b/gannetfront/cli/lab.py
@@ -6,7 +6,7 @@
 import click
 
 from .common import complain
-from .kitchen import day_of
+from .kitchen import day_of, digest as timeline_digest
 
 
 @click.group()
@@ -44,7 +44,7 @@
         broken += bool(stories)
         click.echo(f"{rule}: {checked} checked, {len(stories)} broken" + "".join(f"\n    {s}" for s in stories[:3]))
     click.echo(f"service {service(world.facts, world.rows('tries')):.3f} (simulated); {len(world.tries)} tries; "
-               f"digest {digest.hexdigest()}")
+               f"digest {digest.hexdigest()}; timeline {timeline_digest(world.told_timeline())}")
     raise SystemExit(1 if broken else 0)
 
 
--- a/gannetfront/kitchen/fleet.py
+++ b/gannetfront/kitchen/fleet.py
@@ -52,6 +52,10 @@
             if trouble.at <= self.now() < trouble.until and trouble.kind not in ("crash", "drain"):
                 self.trouble(trouble, True, place)
 
+    def told_timeline(self):
+        """Scripted events that happened, in time order; those of one moment by name, as clocks do not order them."""
+        return sorted(self.timeline)
+
     # ---- work ----
 
     def met(self, place, job):
--- a/gannetfront/lab/baselines.py
+++ b/gannetfront/lab/baselines.py
@@ -20,6 +20,7 @@
         self.ver, self.stage, self.cap, self.phase, self.since = None, 0, 0.0, None, 0.0
         self.took, self.made = deque(), deque()
         self.vote_due, self.seen, self.ring, self.pools = 0.0, {}, 0, None
+        self.woken = -1.0
 
     def round(self, now, events, out):
         self.now, self.out = now, out
@@ -34,8 +35,9 @@
             if verdict:
                 out.vote(self.stage, self.ver, verdict)
             self.vote_due = now + 500
-        if self.invs or self.phase == TRIAL:
-            out.timer(now + 250, "tick")
+        if (self.invs or self.phase == TRIAL) and now >= self.woken:   # one alarm at a time
+            self.woken = now + 250
+            out.timer(self.woken, "tick")
 
     def timer(self, key):
         pass
