Release controller: webhooks in, durable state written before anything is told, recovery

Need: a build announced by a pipeline is not forgotten by a crash, and a duplicate delivery gets the same answer. Change: three published webhook forms checked over raw bytes with rotation; a SQLite store, one synced step a round, what the round said leaves after it; stages, votes, places and the stage's clock are taken up after a restart; machines are told their places again. Found while writing: two deliveries before one round would have kept only the second's build; the offer now goes into the state at once.

--- a/gannetfront/cli/release.py
+++ b/gannetfront/cli/release.py
@@ -24,7 +24,9 @@
 def run(fleet, controller, script_file, records, start, size, ready_file, log_level):
     """Serve with the settings of the FLEET and of this CONTROLLER."""
     from ..release.scripted import Scripted
+    from ..release import webhooks
     from ..release.serve import Controller
+    from ..release.store import BadStore, Store
     log = logs("gannet-release", log_level)
     facts, mine = settings(schema.Fleet, fleet), settings(schema.Controller, controller)
     day = day_of(script_file) if script_file else None
@@ -32,8 +34,19 @@
     rollout = load.deployment(facts, 0, "", 1.0).rollout
     try:
         one = Controller(facts, mine, rollout, day.fleet["nodes"] if day else size, log, scripted.late, scripted.told)
+        if mine.store:
+            one.store = Store(mine.store)
+            one.store.forget(mine.remembered / 1000)
         one.start()
-    except (OSError, ValueError) as trouble:
+        if mine.hooks_listen:
+            if not one.store:
+                raise ValueError("hooks_listen needs a store: deliveries must outlive a restart")
+            doors = {p.name: webhooks.Pipeline(p.name, [webhooks.secret_of((host.read_file(f) or b"").decode().strip())
+                                                        for f in p.secret_file], p.first, p.last) for p in mine.pipeline}
+            hooks = host.Listener(mine.hooks_listen)
+            host.spawn(host.serve, hooks, lambda stream: one.hook(doors, mine.tolerance / 1000, stream), log, 256)
+            log.info("webhooks", at=hooks.where, pipelines=sorted(doors))
+    except (OSError, ValueError, BadStore) as trouble:
         raise SystemExit(complain(f"{controller}: cannot start: {trouble}"))
     if ready_file:
         host.replace_file(ready_file, one.listener.where.encode())
@@ -43,5 +56,23 @@
     scripted.done.wait()
 
 
+@main.command()
+@click.argument("store", type=click.Path(dir_okay=False, exists=True))
+@click.option("--most", default=50, show_default=True)
+@click.option("--json", "as_json", is_flag=True)
+def history(store, most, as_json):
+    """The moves in a STORE, oldest first: what, when, why."""
+    import json
+
+    from ..release.store import BadStore, Store
+    try:
+        moves = Store(store).history(most)
+    except BadStore as bad:
+        raise SystemExit(complain(str(bad)))
+    for move in moves:
+        facts = {k: v for k, v in move.items() if k not in ("number", "at", "what")}
+        click.echo(json.dumps(move) if as_json else f"{move['number']:6} {move['at']:.3f} {move['what']} {facts}")
+
+
 if __name__ == "__main__":
     main()
--- a/gannetfront/release/serve.py
+++ b/gannetfront/release/serve.py
@@ -1,7 +1,11 @@
 """gannet-release on sockets: proxies and machines come in, lists, stages and tallies go out, votes are answered."""
+import json
+import sqlite3
+
 from .. import host
 from ..interface import FULL, MOOT, SUCCEEDED
-from ..wire import control_pb2 as c, frames
+from ..wire import control_pb2 as c, frames, http
+from . import webhooks
 from .stages import Stages
 
 STATUS = {SUCCEEDED: c.OK, MOOT: c.MOOT, FULL: c.FULL}
@@ -35,7 +39,8 @@
         self.box, self.links, self.machines = host.Mailbox(65536), {}, None
         self.nodes, self.slot_of, self.revision, self.history, self.rows = {}, {}, 0, [], {}
         self.listen, self.most_links, self.waiting, self.noted = mine.listen, mine.most_links, [], {}
-        self.story, self.barred = lambda what, facts: None, set()
+        self.story, self.barred, self.store = lambda what, facts: None, set(), None
+        self.moves, self.pending, self.touched, self.in_round = [], [], False, False
 
     # ---- the round ----
 
@@ -48,13 +53,88 @@
         self.logger.info("serving", at=self.listener.where)
 
     def begin(self):
-        self.box.put(("begin",))
+        """The fleet at rest, or where the store says that it was."""
+        known = self.store.restore() if self.store else None
+        if known:
+            saved, away = known
+            self.stages.restore(host.now(), saved, 1000 * away)
+            self.logger.info("taken up", build=self.stages.ver, stage=self.stages.stage, phase=self.stages.phase,
+                             away_s=round(away, 3))
+        else:
+            self.box.put(("begin",))
+
+    def hook(self, doors, tolerance, stream):
+        """One connection of a pipeline: `POST /hooks/<pipeline>`; an answer only after the fact is on disk."""
+        reader = http.RequestReader(16384, webhooks.LONGEST)
+        try:
+            while not reader.ready:
+                data = stream.recv(65536, 5000)
+                if not data:
+                    return
+                reader.feed(data)
+            method, url, headers, body, _ = reader.ready.pop(0)
+            status, text = self.delivered(doors, tolerance, method, url, headers, body)
+            stream.send(http.answer(status, [(b"content-type", b"application/json")], text.encode(), False), 5000)
+        except http.BadRequest as bad:
+            stream.send(http.answer(bad.status, [], bad.why.encode() + b"\n", False), 5000)
+        except (OSError, host.Late):
+            pass
+        finally:
+            stream.close()
+
+    def delivered(self, doors, tolerance, method, url, headers, body):
+        """(status, JSON text). A repeat gets the answer of the first, whatever has happened since."""
+        name = url.decode("latin-1").partition("?")[0].removeprefix("/hooks/")
+        try:
+            if method != b"POST" or name not in doors:
+                raise webhooks.Refused(404, "no such pipeline")
+            ident, build = webhooks.check(doors[name], headers, body, host.wall(), tolerance)
+        except webhooks.Refused as refused:
+            self.logger.warning("webhook refused", pipeline=name[:64], status=refused.status, why=refused.why)
+            return refused.status, json.dumps(dict(error=refused.why)) + "\n"
+        before = self.store.answered(name, ident)
+        if before:
+            return before
+        fresh = build > self.stages.ver and build not in self.stages.queue
+        status = 202 if fresh else 409
+        text = json.dumps(dict(build=build, offered=fresh)) + "\n"
+        if fresh:       # at once, not by an event: the next delivery's write must hold this one's build too
+            self.stages.offered(build)
+        try:
+            self.store.deliver(name, ident, build, status, text, self.stages.saved())
+        except sqlite3.Error as trouble:
+            if fresh:
+                self.stages.queue.remove(build)
+            self.logger.error("webhook not kept", why=str(trouble))
+            return 503, json.dumps(dict(error="it could not be written down; send it again")) + "\n"
+        self.logger.info("webhook", pipeline=name, id=ident, build=build, offered=fresh)
+        return status, text
 
     def run(self):
         while True:
             first = self.box.take(ROUND)
-            events = ([first] if first else []) + self.box.drain()
-            self.stages.round(host.now(), events, self)
+            self.round(([first] if first else []) + self.box.drain())
+
+    def round(self, events):
+        """What a round decided leaves only once it is on disk; while it cannot be written, nothing of it is told."""
+        self.in_round = True
+        self.stages.round(host.now(), events, self)
+        self.in_round = False
+        if self.store and (self.moves or self.touched):
+            try:
+                self.store.record(self.moves, self.stages.saved())
+            except sqlite3.Error as trouble:
+                self.logger.error("state not kept", why=str(trouble), waiting=len(self.pending))
+                return
+        self.moves, self.touched, pending, self.pending = [], False, self.pending, []
+        for link, *what in pending:
+            link.put(*what)
+
+    def send(self, link, *what):
+        if self.in_round or self.pending:
+            self.pending.append((link, *what))
+        else:
+            link.put(*what)
 
     def event(self, *event):
         if not self.box.put(event):
@@ -74,8 +154,9 @@
         self.machine(frames.pack(remove=c.Remove(slot=slot, drain=self.drain + self.late())))
 
     def machine(self, data):
+        self.touched = True
         if self.machines:
-            self.machines.put(0.0, data)
+            self.send(self.machines, 0.0, data)
         else:
             self.waiting.append(data)
 
@@ -84,10 +165,13 @@
             self.tell_stage(link)
 
     def answer(self, proxy, number, status):
+        self.touched = True
         if proxy in self.links:
             self.tell_stage(self.links[proxy], number, STATUS[status])
 
     def log(self, what, facts):
+        if self.store:
+            self.moves.append((what, facts))
         self.logger.info(what, **facts)
         self.story(what, facts)
 
@@ -95,7 +179,7 @@
         s, late = self.stages, self.late() if number is None else 0.0
         message = c.Stage(answer=number is not None, stage=s.stage, since=max(0.0, host.now() - s.since), cap=s.cap,
                           status=status, ver=s.ver, phase=s.phase, number=number or 0)
-        link.put(host.now() + late, frames.pack(stage=message), message)
+        self.send(link, host.now() + late, frames.pack(stage=message), message)
 
     # ---- the node list ----
 
@@ -129,7 +213,7 @@
             changes = [(rev, [self.aged(n, at) for n, at in some], False) for rev, some in changes]
         for revision, nodes, whole in changes:
             message = c.NodeList(revision=revision, whole=whole, nodes=nodes, epoch=self.epoch)
-            link.put(due, frames.pack(list=message), message)
+            self.send(link, due, frames.pack(list=message), message)
 
     def on_report(self, m):
         node, before = m.node, self.nodes.get(m.node.id)
@@ -204,6 +288,7 @@
             waiting, self.waiting = self.waiting, []
             for data in waiting:
                 link.put(0.0, data)
+            self.stages.again(self)
             return
         if m.id in self.barred:     # a script's cut
             link.stream.reset()
--- a/gannetfront/release/stages.py
+++ b/gannetfront/release/stages.py
@@ -24,11 +24,39 @@
         self.size, self.zones, self.cell_size = size, zones, cell_size
         self.slots, self.next_slot, self.queue, self.votes = {}, 0, [], {}
         self.ver, self.released, self.phase, self.stage = 1, 1, RELEASED, len(facts.caps) - 1
-        self.since = self.placed = self.told = 0.0
+        self.now = self.since = self.placed = self.told = 0.0
         self.clock = None
 
     cap = property(lambda self: {TRIAL: self.caps[self.stage], RELEASED: 1.0}.get(self.phase, 0.0))
 
+    def saved(self):
+        """All that a restart must know, as plain values; spans, not clock readings."""
+        span = lambda t: None if t is None else self.now - t
+        return dict(ver=self.ver, released=self.released, phase=self.phase, stage=self.stage, queue=self.queue,
+                    since=span(self.since), placed=span(self.placed), clock=span(self.clock), next_slot=self.next_slot,
+                    votes=[[proxy, v, span(at)] for proxy, (v, at) in sorted(self.votes.items())],
+                    slots=[[s.slot, s.ver, s.zone, s.cell, s.leaving] for _, s in sorted(self.slots.items())])
+
+    def restore(self, now, saved, away):
+        """Takes up where `saved` was, `away` ms ago: the stage's clock and the votes' lives went on meanwhile."""
+        self.now = now
+        at = lambda span: None if span is None else now - away - span
+        self.ver, self.released, self.phase, self.stage = (saved[k] for k in ("ver", "released", "phase", "stage"))
+        self.queue, self.next_slot = list(saved["queue"]), saved["next_slot"]
+        self.since, self.placed, self.clock = at(saved["since"]), at(saved["placed"]), at(saved["clock"])
+        self.votes = {proxy: (v, at(span)) for proxy, v, span in saved["votes"]}
+        for slot, ver, zone, cell, leaving in saved["slots"]:
+            self.slots[slot] = Slot(slot, ver, zone, cell)
+            self.slots[slot].leaving = leaving
+
+    def again(self, out):
+        """What machines that come (back) must know: places they have already are passed over by them."""
+        for _, s in sorted(self.slots.items()):
+            if s.leaving:
+                out.remove(s.slot)
+            else:
+                out.place(s.slot, s.ver, s.zone, s.cell, False)
+
     def round(self, now, events, out):
         self.now, self.out = now, out
         for name, *fields in events:
