--- a/gannetfront/kitchen/directory.py
+++ b/gannetfront/kitchen/directory.py
@@ -140,12 +140,15 @@
     def on_bind(self, ident, value, controls):
         self.d.binds += 1
         way = value["authentication"]
-        external = isinstance(way, dict)
-        good = external or not value["name"] or way == self.d.password.encode()
+        external = isinstance(way, dict)    # SASL EXTERNAL: who it is stands in the certificate of its TLS
+        good = self.certified() if external else not value["name"] or way == self.d.password.encode()
         code = self.d.faults.refuse_bind or ("success" if good else "invalidCredentials")
         self.bound = code == "success"
         self.put(ident, "bound", self.result(code))
 
+    def certified(self):
+        return isinstance(self.stream, host.Secured) and bool(self.stream.tls.getpeercert())
+
     def on_extended(self, ident, value, controls):
         if value["name"] == m.START_TLS.encode() and self.d.start_tls:
             self.put(ident, "extended_done", self.result())
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -428,6 +428,25 @@
             check(settings_of, "")
 
 
+@pytest.mark.parametrize("shown", [True, False], ids=["with its certificate", "without"])
+def test_external_bind_is_by_the_certificate(place, tmp_path, shown):
+    path, served = certificate(tmp_path, ["directory"])
+    served.verify_mode = ssl.CERT_OPTIONAL
+    served.load_verify_locations(path)
+    p = place()
+    p.d.stop()
+    p.d.context = served
+    p.d.back()
+    settings_of = load.parse(schema.Directory, f'address: "{p.d.at}" tenants_base: "ou=t,dc=x" security: "ldaps" ca_file: "{path}" '
+                             'name_in_certificate: "directory" external: true ' + (f'cert_file: "{path}"' if shown else ""), "d")
+    if shown:
+        assert len(check(settings_of, "")[0].members) == 6
+    else:
+        from gannetfront.tenants.directory import Ended
+        with pytest.raises(Ended, match="invalidCredentials"):
+            check(settings_of, "")
+
+
 def test_starttls_refused_is_not_gone_without(place):
     p = place()
     settings_of = load.parse(schema.Directory, f'address: "{p.d.at}" tenants_base: "ou=t,dc=x" security: "starttls"', "d")
