Audit trail in the proxy: intents of side-effecting dispatches on disk before they are sent

Need: an acknowledged debit is known after a crash, and none is sent that could not be written down. A power cut was not tried: a kill leaves the page cache.

--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -451,6 +451,52 @@
         return None
 
 
+class AppendFile:
+    """Grows at its end. `sync` waits for the disk in a thread of its own: the other greenlets go on."""
+
+    def __init__(self, path):
+        self.path, self.fd = path, os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
+        self.size = os.lseek(self.fd, 0, os.SEEK_END)
+
+    def append(self, data):
+        """All of `data` or nothing of it: what a failed write left is cut off again. Raises OSError."""
+        at = 0
+        try:
+            while at < len(data):
+                at += os.write(self.fd, data[at:])
+        except OSError:
+            self.cut(self.size)
+            raise
+        self.size += len(data)
+
+    def cut(self, size):
+        os.ftruncate(self.fd, size)
+        os.lseek(self.fd, size, os.SEEK_SET)
+        self.size = size
+
+    def sync(self):
+        get_hub().threadpool.apply(os.fdatasync, (self.fd,))
+
+    def close(self):
+        os.close(self.fd)
+
+
+def remove_file(path):
+    try:
+        os.unlink(path)
+    except FileNotFoundError:
+        pass
+
+
+def make_folder(path):
+    os.makedirs(path, exist_ok=True)
+
+
+def folder_files(folder, ending):
+    """Paths in `folder` with that ending, in order of name."""
+    return [os.path.join(folder, name) for name in sorted(os.listdir(folder)) if name.endswith(ending)]
+
+
 def replace_file(path, data):
     """Whole or absent: written beside, synced, renamed, and the folder synced."""
     beside = f"{path}.new"
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -5,7 +5,8 @@
 from .. import host
 from ..balance import Balancer
 from ..config import load
-from ..interface import CANCELLED, MOOT, SUCCEEDED
+from ..interface import CANCELLED, MOOT, SIDE_EFFECTING, SUCCEEDED
+from ..trail.log import Trail
 from ..wire import control_pb2 as c, http
 from .clients import Clients
 from .kept import KeptList
@@ -27,6 +28,10 @@
         self.rounds.refill = self.refill
         self.ops = [o.name for o in fleet.operation]
         operations = {o.name.encode(): n for n, o in enumerate(fleet.operation)}
+        if mine.trail:
+            host.make_folder(mine.trail)
+            self.rounds.trail = Trail(mine.trail, log, mine.trail_delay)
+            self.rounds.must = [o.effect == SIDE_EFFECTING for o in facts.operations]
         self.tenants = (Tenants(mine, facts, self.rounds.tell, log, host.chance(mine.seed, 4)) if mine.tenants
                         else Listed(fleet.tenant))
         self.clients = Clients(self.rounds, operations, self.tenants.admit, (mine.header_limit, mine.body_limit),
@@ -150,7 +155,8 @@
         self.read_kept()
         self.listener = host.Listener(self.listen)
         self.greenlets = [host.spawn(call) for call in (
-            self.rounds.run, self.link.run, self.signals.run, self.keep, *self.tenants.start(), *([self.send_counts] if self.period else []))]
+            self.rounds.run, self.link.run, self.signals.run, self.keep, *self.tenants.start(),
+            *([self.rounds.trail.run] if self.rounds.trail else []), *([self.send_counts] if self.period else []))]
         self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log, self.most_clients))
         self.log.info("serving", at=self.listener.where, signals=self.signals.port.where, nodes=len(self.kept.nodes))
 
@@ -169,5 +175,7 @@
         host.sleep(20)
         for stream in list(self.clients.open):
             stream.close()
+        if self.rounds.trail:
+            self.rounds.trail.close()
         self.log.info("stopped", unanswered=len(self.clients.busy))
         self.done.set()
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -4,7 +4,8 @@
 anything else waits for room, as it must not be lost. A first success reaches its client at once, without a round.
 """
 from .. import host
-from ..interface import SUCCEEDED
+from ..interface import MOOT, SUCCEEDED
+from ..trail.log import Refused
 from ..wire import http, invocation
 from .carrier import Carrier
 from .flights import Flight
@@ -16,6 +17,12 @@
     def __init__(self, path, headers, body):
         self.path, self.headers, self.body, self.done = path, headers, body, host.Once()
 
+    @property
+    def name(self):
+        """What its client calls it, for the trail."""
+        return (http.header(self.headers, b"x-request-id") or http.header(self.headers, b"idempotency-key") or b"").decode(
+            "latin-1")[:200]
+
 
 class Rounds:
     def __init__(self, make, tick, most_held, answer_limit, pools, log, me):
@@ -25,7 +32,7 @@
         self.box, self.flights, self.last = host.Mailbox(4 * most_held + 4096), {}, -1e9
         self.link = self.signals = None
         self.carrier, self.spent, self.rounds = Carrier(make, self), 0.0, 0
-        self.observe = lambda *fields: None
+        self.observe, self.trail, self.must = lambda *fields: None, None, ()
         self.close_idle, self.refill = pools.close_idle, lambda: None
 
     held = property(lambda self: self.carrier.held)
@@ -82,6 +89,8 @@
     def ended(self, held, kind, facts):
         if kind == "terminated" and not facts:
             held.answer = kind, host.now() >= held.deadline - 5
+        if self.trail:
+            self.trail.append("answer", request=held.extra.name, op=held.op, answer=kind)
         held.extra.done.set()
 
     def call_off(self, ident, seq):
@@ -98,7 +107,7 @@
         host.spawn(self.fly, held, seq, flight, self.carrier.life)
 
     def fly(self, held, seq, flight, life):
-        status, answer = flight.fly(self.pools.of(flight.addr))
+        status, answer = self.recorded(held, seq, flight)
         if status == SUCCEEDED:
             self.carrier.end(held, SUCCEEDED, answer.status, answer.headers, answer.body)
         took = host.now() - flight.begun
@@ -108,6 +117,21 @@
             self.carrier.landed(held, seq, life, flight.addr, status, took, invocation.load_of(answer) if answer else {})
             self.wake()
 
+    def recorded(self, held, seq, flight):
+        """A dispatch; one that must not run twice only once its intent is on disk. Where that cannot be written it is not
+        sent: nothing ran, so its client may be told that a repeat is harmless."""
+        pool = self.pools.of(flight.addr)
+        if not self.trail or not self.must[held.op]:
+            return flight.fly(pool)
+        facts = dict(request=held.extra.name, op=held.op, seq=seq, node=flight.addr)
+        try:
+            self.trail.written("intent", max(1.0, flight.left()), **facts)
+        except Refused:
+            return MOOT, None
+        status, answer = flight.fly(pool)
+        self.trail.append("outcome", status=status, **facts)
+        return status, answer
+
     def vote(self, stage, ver, verdict):
         self.link.vote(stage, ver, verdict)
 
--- /dev/null
+++ b/gannetfront/trail/log.py
@@ -0,0 +1,126 @@
+"""The trail on disk: appended, committed in groups, rotated. Nothing counts as written before its sync has returned.
+
+A full disk: records of the kinds in `must` are refused (the caller then does not do what it could not write down), others are
+counted and the count is written when there is room again. It recovers by itself.
+"""
+from .. import host
+from . import records
+
+ENDING, RETRY, WAITING = ".trail", 500.0, 20000
+
+
+class Refused(Exception):
+    """It could not be written down."""
+
+
+class Trail:
+    """`delay` ms at most from a record to its sync; `rotate` bytes a segment; `keep` sealed segments."""
+
+    def __init__(self, folder, log, delay=2.0, rotate=64 << 20, keep=64, must=("intent",)):
+        self.folder, self.log, self.delay, self.rotate, self.keep, self.must = folder, log, delay, rotate, keep, must
+        self.waiting, self.lost, self.full, self.box, self.torn = [], 0, False, host.Mailbox(1), 0
+        files = host.folder_files(folder, ENDING)
+        self.seq = 1
+        if files:
+            # The end of the last may be torn by a power cut: cut off what no one was told is written.
+            first = int(files[-1].rpartition("/")[2].partition(".")[0])
+            data = host.read_file(files[-1])
+            found, whole = records.read(data, first)
+            self.seq = found[-1][0] + 1 if found else first
+            self.file = host.AppendFile(files[-1])
+            self.torn = len(data) - whole
+            if self.torn:
+                self.log.warning("trail's torn end cut off", file=files[-1], bytes=self.torn)
+                self.file.cut(whole)
+        else:
+            self.file = self.segment()
+
+    def segment(self):
+        return host.AppendFile(f"{self.folder}/{self.seq:016d}{ENDING}")
+
+    def append(self, kind, **facts):
+        """A Once that holds True when it is on disk, False when it could not be written; raises Refused while the disk is
+        full, for what must be written."""
+        once = host.Once()
+        if (self.full or len(self.waiting) >= WAITING) and kind in self.must:
+            raise Refused(kind)
+        if self.full or len(self.waiting) >= WAITING:
+            self.lost += 1
+            once.set(False)
+            return once
+        self.waiting.append((kind, host.wall(), facts, once))
+        self.box.put(True)
+        return once
+
+    def written(self, kind, limit, **facts):
+        """True once it is on disk; Refused where it could not be, or not within `limit` ms."""
+        try:
+            if not self.append(kind, **facts).wait(limit):
+                raise Refused(kind)
+        except host.Late:
+            raise Refused(kind) from None
+        return True
+
+    def run(self):
+        while True:
+            self.box.take(RETRY)
+            if self.waiting and self.delay:
+                host.sleep(self.delay)
+            self.commit()
+
+    def commit(self):
+        group, self.waiting = self.waiting, []
+        if not group and not (self.full and self.lost):
+            return
+        rows = [("lost", host.wall(), dict(records=self.lost), None)] if self.lost else []
+        seq, data = self.seq, b""
+        for kind, at, facts, _ in rows + group:
+            data += records.pack(seq, at, kind, facts)
+            seq += 1
+        size = self.file.size
+        try:
+            self.file.append(data)
+            self.file.sync()
+        except OSError as trouble:
+            if not self.full:
+                self.log.error("trail full", why=str(trouble))
+            self.full = True
+            if self.file.size > size:
+                self.file.cut(size)
+            for kind, _, _, once in group:
+                self.lost += kind not in self.must
+                once.set(False)
+            return
+        self.seq, self.lost = seq, 0
+        if self.full:
+            self.full = False
+            self.log.info("trail has room again")
+        for *_, once in group:
+            once.set(True)
+        if self.file.size >= self.rotate:
+            self.file.close()
+            self.file = self.segment()
+            for path in host.folder_files(self.folder, ENDING)[:-self.keep - 1]:
+                host.remove_file(path)
+
+    def close(self):
+        self.commit()
+        self.file.close()
+
+
+def read(folder):
+    """All records in order; raises Damaged, naming the file. A torn end is no damage in the last segment only."""
+    files, found = host.folder_files(folder, ENDING), []
+    for path in files:
+        first = int(path.rpartition("/")[2].partition(".")[0])
+        data = host.read_file(path)
+        try:
+            some, whole = records.read(data, first)
+        except records.Damaged as trouble:
+            raise records.Damaged(f"{path}: {trouble}") from None
+        if whole < len(data) and path != files[-1]:
+            raise records.Damaged(f"{path}: torn at byte {whole}, and not the last")
+        if found and some and some[0][0] != found[-1][0] + 1:
+            raise records.Damaged(f"{path}: begins with record {some[0][0]}, {found[-1][0] + 1} was due")
+        found += some
+    return found
--- /dev/null
+++ b/tests/test_trail.py
@@ -0,0 +1,136 @@
+"""The audit trail: a record is whole or absent, what was acknowledged is there, a full disk refuses what must be written."""
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from gannetfront import host
+from gannetfront.trail import log, records
+from rig import Log, Node, Rig, ok
+
+ROOT = Path(__file__).parents[1]
+
+
+@pytest.fixture
+def trail(tmp_path):
+    (tmp_path / "t").mkdir()
+    made = []
+
+    def make(**facts):
+        one = log.Trail(str(tmp_path / "t"), Log(), **facts)
+        made.append(host.spawn(one.run))
+        return one
+    yield make
+    for one in made:
+        host.stop(one)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.dictionaries(st.text(max_size=5), st.text(max_size=20), max_size=3), max_size=8), st.integers(0, 400))
+def test_any_cut_leaves_whole_records_only(rows, cut):
+    data = b"".join(records.pack(n + 1, 1.0, "x", row) for n, row in enumerate(rows))
+    found, whole = records.read(data[:cut], 1)
+    assert [r[3] for r in found] == rows[:len(found)] and whole <= min(cut, len(data))
+    assert cut < len(data) or len(found) == len(rows)
+
+
+def test_damage_within_is_told_from_a_torn_end():
+    parts = [records.pack(n, 1.0, "x", {"n": n}) for n in (1, 2, 3)]
+    with pytest.raises(records.Damaged, match="sound records behind"):
+        records.read(parts[0] + parts[1][:-1] + b"?" + parts[2], 1)
+    with pytest.raises(records.Damaged, match="record 3 where 2 was due"):
+        records.read(parts[0] + parts[2], 1)
+
+
+def test_groups_are_committed_and_read_back_over_rotations(trail, tmp_path):
+    one = trail(rotate=400)
+    waits = [one.append("answer", request=str(n)) for n in range(50)]
+    assert all(w.wait(3000) for w in waits)
+    for n in range(50, 60):
+        assert one.written("intent", 3000, request=str(n))
+    assert [r[3]["request"] for r in log.read(str(tmp_path / "t"))] == [str(n) for n in range(60)]
+    assert len(list((tmp_path / "t").iterdir())) >= 3
+
+
+def test_torn_end_is_cut_off_and_numbers_go_on(trail, tmp_path):
+    one = trail()
+    one.written("intent", 3000, request="a")
+    path = next((tmp_path / "t").iterdir())
+    path.write_bytes(path.read_bytes() + records.pack(2, 1.0, "intent", {"request": "b"})[:-3])
+    again = trail()
+    assert again.torn and again.written("intent", 3000, request="c")
+    assert [(r[0], r[3]["request"]) for r in log.read(str(tmp_path / "t"))] == [(1, "a"), (2, "c")]
+
+
+def test_full_disk_refuses_what_must_be_written_and_recovers(trail, tmp_path, monkeypatch):
+    one = trail()
+    one.written("intent", 3000, request="before")
+    real, full = os.write, [True]
+
+    def write(fd, data):
+        if full[0] and fd == one.file.fd:
+            if len(data) > 40:
+                return real(fd, data[:40])      # part of it still fits
+            raise OSError(28, "No space left on device")
+        return real(fd, data)
+    monkeypatch.setattr(os, "write", write)
+    with pytest.raises(log.Refused):
+        one.written("intent", 3000, request="during")
+    assert one.append("answer", request="x").wait(3000) is False
+    full[0] = False
+    end = host.now() + 5000
+    while one.full and host.now() < end:
+        host.sleep(20)
+    assert one.written("intent", 3000, request="after")
+    found = log.read(str(tmp_path / "t"))
+    assert [r[2] for r in found] == ["intent", "lost", "intent"] and found[1][3] == {"records": 1}
+
+
+WRITER = """
+import sys
+from gannetfront import host
+from gannetfront.trail.log import Trail
+class Quiet:
+    def __getattr__(self, name): return lambda *a, **k: None
+one = Trail(sys.argv[1], Quiet(), delay=0.2)
+host.spawn(one.run)
+n = 0
+while True:
+    n += 1
+    one.written("intent", 5000, request=str(n))
+    sys.stdout.write(f"{n}\\n")
+    sys.stdout.flush()
+"""
+
+
+def test_killed_at_any_point_every_acknowledged_record_is_there(tmp_path):
+    for turn in range(8):
+        folder = tmp_path / str(turn)
+        folder.mkdir()
+        process = subprocess.Popen([sys.executable, "-c", WRITER, str(folder)], stdout=subprocess.PIPE, text=True,
+                                   env=os.environ | dict(PYTHONPATH=str(ROOT)))
+        for _ in range(3 + 7 * turn):
+            told = process.stdout.readline()
+        process.send_signal(signal.SIGKILL)
+        rest = process.stdout.read().split("\n")
+        process.wait()
+        acknowledged = int([told, *(x for x in rest[:-1] if x)][-1])
+        found = log.read(str(folder))
+        assert len(found) >= acknowledged and [int(r[3]["request"]) for r in found] == list(range(1, len(found) + 1))
+
+
+def test_proxy_writes_intents_first_and_sends_nothing_unrecorded(tmp_path):
+    one = Rig(tmp_path, Node(ok()), trail=str(tmp_path / "t"), trail_delay=1.0)
+    assert one.ask("debit", x_request_id="d1")[1] == "succeeded"
+    one.until(lambda: len(log.read(str(tmp_path / "t"))) >= 3)
+    kinds = [(r[2], r[3]["request"]) for r in log.read(str(tmp_path / "t"))]
+    assert kinds[0] == ("intent", "d1") and sorted(kinds[1:]) == [("answer", "d1"), ("outcome", "d1")]
+    one.proxy.rounds.trail.full = True
+    sent = len(one.nodes[0].seen)
+    assert one.ask("debit", x_request_id="d2")[:2] == (429, "throttled") and len(one.nodes[0].seen) == sent
+    assert one.ask("read")[1] == "succeeded"        # what may run again goes on
+    one.close()
