--- a/gannetfront/cli/lab.py
+++ b/gannetfront/cli/lab.py
@@ -22,7 +22,7 @@
     """Play SCRIPT_FILE once and judge it."""
     import xxhash
 
-    from ..audit.rules import Judge, service
+    from ..audit.rules import service
     from ..lab.baselines import POLICIES
     from ..lab.world import World
     if policy not in POLICIES:
@@ -38,7 +38,7 @@
             (at, f"proxy {n}: {line}") for at, n, line in world.lines] + [(r[0], f"{r[1]} {r[2]}") for r in world.events]
         for at, what in sorted(rows):
             click.echo(f"{at / 1000:9.3f}  {what}")
-    verdict = Judge(world.facts, *(world.rows(n) for n in ("tries", "dispatches", "nodes", "told", "events")), 20.0, 1.0).verdict()
+    verdict = world.verdict()
     broken = 0
     for rule, (checked, stories) in verdict.items():
         broken += bool(stories)
--- a/gannetfront/kitchen/serve.py
+++ b/gannetfront/kitchen/serve.py
@@ -200,9 +200,11 @@
             data = b""
         if data is not None:
             # The proxy is gone or sent out of turn: its dispatch is called off.
+            if id(job) not in place.jobs:
+                return None     # lost with its process, and written down as that: one dispatch is one row
             never = node.drop(job, self.day.fleet["cancelled"] == "stops")
             if never or self.day.fleet["cancelled"] == "stops":
-                place.jobs.pop(id(job), None)
+                del place.jobs[id(job)]
                 self.row(place, job, "cancelled", False)
                 self.schedule(place, node, node.begin(host.now()))
             return None
--- a/gannetfront/lab/grid.py
+++ b/gannetfront/lab/grid.py
@@ -16,7 +16,7 @@
 import xxhash
 
 from .. import host, script
-from ..audit.rules import Judge, service
+from ..audit.rules import service
 from .baselines import POLICIES
 from .world import World
 
@@ -151,7 +151,7 @@
     for n in sorted(world.rows("nodes"), key=lambda n: n["at"]):
         alive[at(n["at"]):] += {"up": 1, "crashed": -1, "stopped": -1, "toppled": -1}.get(n["what"], 0)
     table["open_nodes"] = alive
-    verdict = Judge(facts, *(world.rows(n) for n in ("tries", "dispatches", "nodes", "told", "events")), 20.0, 1.0).verdict()
+    verdict = world.verdict()
     last, delay = {}, []
     for when, _, f in stages:
         last[f["build"]] = f["phase"]
--- a/gannetfront/lab/world.py
+++ b/gannetfront/lab/world.py
@@ -7,6 +7,7 @@
 from heapq import heappop, heappush
 
 from .. import host
+from ..audit.rules import Judge
 from ..balance import Balancer
 from ..config import load, schema_pb2 as schema
 from ..interface import (
@@ -406,7 +407,6 @@
         if place.state != "down" or self.places.get(place.slot) is not place:
             return
         if place.at == "127.0.0.1:0":
-            self.made += 1
             place.at = f"10.{place.slot >> 8}.{place.slot & 255}.{place.incarnation % 200}:7000"
             self.by_addr[place.at] = place
         self.equip(place, warm)
@@ -493,15 +493,8 @@
 
     def beat(self):
         """The controller's round: what came in since the last."""
-        events, self.controls, self.answers = self.controls, [], []
-        plain = []
-        for name, *fields in events:
-            if name == "vote":
-                proxy, life, stage, ver, verdict = fields
-                plain.append(("vote", proxy, life, stage, ver, verdict))
-            else:
-                plain.append((name, *fields))
-        self.stages.round(self.time, plain, self)
+        events, self.controls = self.controls, []
+        self.stages.round(self.time, events, self)
         self.later(CONTROL_EVERY, self.beat)
 
     def place(self, slot, ver, zone, cell, warm):
@@ -562,6 +555,10 @@
 
     # ---- what crossed the wire, as the audit reads it ----
 
+    def verdict(self):
+        """The five rules on this day: {rule: (checked, stories)}. The wire here takes under a millisecond."""
+        return Judge(self.facts, *map(self.rows, ("tries", "dispatches", "nodes", "told", "events")), 20.0, 1.0).verdict()
+
     def rows(self, name):
         from ..records import NAMES
         source = dict(tries=self.tries, dispatches=self.served, nodes=self.lives, told=self.told, events=self.events)[name]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -157,9 +157,8 @@
 
 @pytest.mark.parametrize("policy", POLICIES)
 def test_every_policy_keeps_the_rules_on_a_small_day(policy):
-    from gannetfront.audit.rules import Judge
     world = played("offer 1 good\nat 3 for 1 kill proxy=0", policy=POLICIES[policy])
-    verdict = Judge(world.facts, *(world.rows(n) for n in ("tries", "dispatches", "nodes", "told", "events")), 20.0, 1.0).verdict()
+    verdict = world.verdict()
     assert not any(stories for _, stories in verdict.values()), verdict
 
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -63,10 +63,10 @@
 def test_back_lowers_the_cap_before_nodes_leave(stages):
     play(stages, 100.0, ("offered", 2))
     play(stages, 200.0, ("vote", "0", 1, 0, 2, BACK))
-    acts = [a[0] for a in stages.o.acts]
     assert stages.phase == GOING_BACK and stages.cap == 0.0
-    assert acts.index("stage", acts.index("answer")) < acts.index("remove") if "remove" in acts else True
     play(stages, 300.0)
+    acts = [a[0] for a in stages.o.acts]
+    assert acts.index("answer") < acts.index("stage", acts.index("answer")) < acts.index("remove")
     play(stages, 400.0)
     assert stages.phase == WITHDRAWN and not [s for s in stages.slots.values() if s.ver == 2]
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -520,11 +520,9 @@
     p.d.change("uid=bad,ou=t,dc=x", uid=["bad", "worse"])
     path = tmp_path / "d.textproto"
     path.write_text("\n".join(f'{k}: {chr(34) + v + chr(34) if isinstance(v, str) else str(v).lower()}' for k, v in p.facts.items()))
-    run = host.spawn(lambda: None)
     import gevent
     done = gevent.get_hub().threadpool.apply(subprocess.run, ([sys.executable, "-m", "gannetfront.cli.tenants", "check", str(path)],),
                                              dict(capture_output=True, text=True, timeout=30))
-    run.join()
     assert done.returncode == 1 and "6 tenants in 1 groups" in done.stdout and "uid=bad" in done.stdout, done.stderr
 
 
