The proxy serves on the users' platform: PostgreSQL protocol, discovery, release API

Need: the users put the product in service as a real proxy on their platform; until now only its decisions ran there.

Change: `run` = python -m gannetfront.edge. wire/pg.py (messages both ways, the statement and its comment) and wire/platform.py (forms, XML, event stream, listings) are codecs without I/O. edge/ has the clients' side, discovery, release API and life; it carries the existing rounds, carrier, flights and pools. Rounds and flights take a codec where they named HTTP; what a socket event proves stays in flights.py, with one new fact: whether a node begins at the last byte.

--- a/gannetfront/benchlink/codec.py
+++ b/gannetfront/benchlink/codec.py
@@ -27,7 +27,11 @@
 
 
 def deployment(text):
-    raw = json.loads(text)
+    return facts(json.loads(text))
+
+
+def facts(raw):
+    """The Deployment that settings as an object stand for, wherever they came from."""
     part = lambda key: raw.get(key) or {}
     allowed, rules, fam, fees = part("ceilings"), part("rules"), part("familyInfo"), part("fees")
     operations = tuple(Operation(
--- a/gannetfront/cli/common.py
+++ b/gannetfront/cli/common.py
@@ -1,20 +1,8 @@
 """What every program shares: logs, reading settings, exit codes."""
-import logging
 import sys
 
-import structlog
-
 from ..config import load
-
-
-def logs(program, level):
-    """JSON lines on standard error."""
-    structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
-        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
-    return structlog.get_logger().bind(program=program)
+from ..logs import logs  # noqa: F401 - the programs take it from here
 
 
 def settings(kind, path):
--- /dev/null
+++ b/gannetfront/edge/discovery.py
@@ -0,0 +1,98 @@
+"""The link to discovery: the list as it is at the start, then a watch that resumes by version."""
+from .. import host
+from ..interface import READY
+from ..wire import BadAnswer, http
+
+WATCH = 4000.0          # ms that a watch may wait; what is told late counts as told soon after its end
+SILENT = 1500.0         # ms past that, after which the agent is asked on a new connection
+LONGEST = 4 << 20       # bytes of a listing
+FIRST_WAIT, LAST_WAIT = 10.0, 500.0     # ms between failures: a watch is broken by 200
+
+
+class Discovery:
+    def __init__(self, at, listing, tell, pools, spread, log):
+        """`tell(kind, entries)` passes a listing on to the decisions."""
+        self.at, self.listing, self.tell, self.pools, self.spread, self.log = at, listing, tell, pools, spread, log
+        self.version, self.entries, self.moved = 0, {}, host.Once()     # host -> (entry, dial, born)
+
+    def address(self, name):
+        return self.entries[name][1]
+
+    def build(self, name):
+        return self.entries[name][0][2] if name in self.entries else 0
+
+    def take(self, version, whole, hosts, kind=None):
+        """A listing that was read: dials first, as the decisions may send at once. Clock times cross machines; a start becomes
+        one of this program's own clock, once for each incarnation, or it would wander."""
+        told, self.version = [], version
+        for entry, dial, born in hosts:
+            old = self.entries.get(entry[0])
+            if old and (old[0][2], old[2]) == (entry[2], born):
+                entry = (*entry, old[0][7])
+            else:
+                entry = (*entry, host.now() - (1000.0 * host.wall() - born) if born else 0.0)
+            # Another process answers there from now on, or nothing new may go there: no open connection is used for it.
+            if old and ((old[0][2], *old[1:]) != (entry[2], dial, born) or entry[5] != READY):
+                self.pools.retire(entry[0])
+            self.entries[entry[0]] = entry, dial, born
+            told.append(entry)
+        if whole:
+            for name in self.entries.keys() - {entry[0] for entry in told}:
+                self.pools.retire(name)
+                del self.entries[name]
+        self.tell(kind or ("whole" if whole else "changes"), tuple(told))
+
+    def move(self, at):
+        if at != self.at:
+            self.at = at
+            self.moved.set()
+
+    def run(self):
+        wait, whole = FIRST_WAIT, False
+        while True:
+            stream = None
+            self.moved = moved = host.Once()
+            try:
+                stream = host.connect(self.at, 1000.0)
+                while True:
+                    whole = not self.ask(stream, moved, whole)
+                    wait = FIRST_WAIT
+            except (OSError, host.Refused, host.Late, BadAnswer) as trouble:
+                # What could not be read is dropped whole; the next answer is the whole list.
+                whole = whole or isinstance(trouble, BadAnswer)
+                if not moved.ready():
+                    self.log.info("discovery lost", at=self.at, why=str(trouble)[:200] or type(trouble).__name__)
+            finally:
+                if stream:
+                    stream.close()
+            if not moved.ready():
+                host.sleep(wait * (0.5 + self.spread.random()))
+                wait = min(LAST_WAIT, 2 * wait)
+
+    def ask(self, stream, moved, whole):
+        """One call; True once its answer is in force."""
+        path = b"/discovery/hosts"
+        if not whole:
+            path += b"?since=%d&timeout_ms=%d" % (self.version, WATCH)
+        reader = http.AnswerReader(LONGEST)
+        stream.send(http.request(path, self.at.encode(), [], b"", b"GET"), 1000.0)
+        end = host.now() + WATCH + SILENT
+        while not reader.whole:
+            data = stream.recv_or(moved, 65536, end - host.now())
+            if data is None:
+                raise host.Late()
+            if not data:
+                raise BadAnswer("it ended before its answer was whole")
+            reader.feed(data)
+        if reader.status != 200:
+            raise BadAnswer(f"status {reader.status}")
+        version, is_whole, hosts = self.listing.read(reader.body)
+        if whole and not is_whole:
+            raise BadAnswer("changes where the whole list was asked for")
+        if is_whole or hosts:
+            self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
+            self.take(version, is_whole, hosts)
+        self.version = version
+        if not reader.reusable:
+            raise BadAnswer("bytes behind the answer, or it closes")
+        return True
--- /dev/null
+++ b/gannetfront/edge/edge.py
@@ -0,0 +1,127 @@
+"""The proxy on the users' platform, assembled: clients' side, rounds, pools, discovery, release API, peers; its life."""
+from .. import host
+from ..balance import Balancer
+from ..proxy.pools import Pools
+from ..proxy.rounds import Rounds
+from ..proxy.signals import Signals
+from ..wire import BadAnswer, pg
+from . import config
+from .api import ReleaseApi
+from .clients import Clients
+from .discovery import Discovery
+
+USER, DATABASE = b"client", b"core"
+LEAVING = 600.0         # ms after SIGTERM in which clients still come and use what they have
+ANSWER_LIMIT = 1 << 18  # bytes of a node's answer
+REPORTED = 5000.0
+
+
+class Edge:
+    def __init__(self, start, path, log):
+        self.path, self.log, self.budget = path, log, start.budget
+        self.pools = Pools(self.budget.nodes_most, start.pool_idle, start.connect_limit, self.connect, self.room)
+        self.rounds = Rounds(lambda: Balancer(start.seed, start.facts), 0.0, start.most_held, ANSWER_LIMIT, self.pools, log,
+                             start.me, pg)
+        self.rounds.slo_times = [o.slo_time for o in start.facts.operations]
+        self.rounds.refill, self.rounds.build_of = self.refill, lambda name: self.discovery.build(name)
+        spread = host.Spread(start.seed + 1)
+        self.discovery = Discovery(start.discovery, start.listing, lambda *told: self.rounds.tell("listed", *told), self.pools,
+                                   spread, log)
+        self.api = ReleaseApi(start.release_api, start.by_name, start.facts.rollout.answer_wait, self.rounds.tell, spread, log)
+        self.rounds.link = self.api
+        self.clients = Clients(self.rounds, start.operations, start.limits, self.budget, log)
+        self.signals, self.done, self.stopping, self.listen = None, host.Once(), False, start.listen
+        if start.facts.may_signal and start.peer_listen:
+            self.signals = Signals(start.me, start.peer_listen, self.rounds.tell, bare=True)
+            self.signals.know(start.peers)
+            self.rounds.signals = self.signals
+        self.discovery.take(*start.known, "kept")
+        self.api.state(False, "succeeded", start.news)
+
+    # ---- connections to nodes ----
+
+    def connect(self, name, limit):
+        """A stream on which a node waits for a query. Until it does nothing was asked of it."""
+        end = host.now() + limit
+        stream, greeting = host.connect(self.discovery.address(name), limit), pg.Greeting()
+        try:
+            stream.send(pg.startup(USER, DATABASE), limit)
+            while not greeting.ready:
+                data = stream.recv(65536, end - host.now())
+                if data:
+                    greeting.feed(data)
+                if greeting.code in pg.TURNED_AWAY:
+                    raise host.Refused("turned away")
+                if not data or greeting.code:
+                    raise host.Refused("no greeting")
+            return stream
+        except (OSError, host.Late, BadAnswer):
+            stream.close()
+            raise host.Refused("no greeting") from None
+        except BaseException:
+            stream.close()
+            raise
+
+    def room(self):
+        return self.pools.size() <= self.budget.nodes_most or self.pools.oldest_idle()
+
+    def refill(self):
+        self.rounds.tell("listed", "whole", tuple(entry for entry, _, _ in self.discovery.entries.values()))
+        self.rounds.tell("stage_told", *self.api.told)
+
+    # ---- life ----
+
+    def start(self):
+        host.spawn(self.rounds.run)
+        host.sleep(0)       # the decisions know the list before anybody comes
+        for call in (self.discovery.run, self.api.run, self.api.listen, self.tend, *(
+                [self.signals.run] if self.signals else [])):
+            host.spawn(call)
+        self.listener = host.Listener(self.listen, 4096)
+        host.spawn(host.serve, self.listener, self.clients.handle, self.log)
+        self.log.info("serving", at=self.listener.where, nodes=len(self.discovery.entries),
+                      clients=self.budget.clients_most, to_nodes=self.budget.nodes_most)
+
+    def tend(self):
+        """Idle connections in time; every few seconds a line of how things stand."""
+        told, spent = host.now(), 0.0
+        while True:
+            host.sleep(500)
+            self.pools.sweep(self.discovery.entries)
+            if host.now() - told >= REPORTED:
+                rounds, told = self.rounds, host.now()
+                away, self.clients.turned_away = dict(self.clients.turned_away), type(self.clients.turned_away)()
+                self.log.info("standing", held=len(rounds.held), out=len(rounds.flights), clients=len(self.clients.open),
+                              to_nodes=self.pools.size(), rounds=rounds.rounds, decisions_ms=round(rounds.spent - spent),
+                              turned_away=away, ends={f"{k} {o}": n for (k, o), n in sorted(rounds.ends.items())})
+                spent = rounds.spent
+
+    def reload(self):
+        """SIGHUP: the addresses of the file as it is now; one that cannot be read leaves those in force."""
+        try:
+            discovery, release_api = config.moved(config.read(self.path))
+        except config.BadSetting as bad:
+            self.log.error("configuration not taken", why=str(bad))
+            return
+        self.log.info("configuration", discovery=discovery, release_api=release_api)
+        self.discovery.move(discovery)
+        self.api.move(release_api)
+
+    def stop(self):
+        """SIGTERM: clients are still taken for a moment; then idle ones are let go, and all that was taken is answered."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log.info("stopping", held=len(self.rounds.held))
+        host.sleep(LEAVING)
+        # What the machine has accepted meanwhile was taken: it is read before the listener goes.
+        host.sleep(0)
+        self.listener.close()
+        while self.clients.open:
+            for some in (self.budget.resting, self.budget.silent):
+                for stream in list(some):
+                    if not stream.waiting():
+                        stream.close()
+            host.sleep(5)
+        self.log.info("stopped")
+        self.done.set()
--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -13,7 +13,6 @@
 from collections import deque
 
 import gevent
-import numpy as np
 from gevent.hub import get_hub
 from greenlet import getcurrent
 
@@ -63,9 +62,21 @@
 
 def chance(seed, *streams):
     """A numpy Generator for `seed`; `streams` are whole numbers that set independent users of one seed apart."""
+    import numpy as np      # here: a program that never draws by it is spared its memory
     return np.random.Generator(np.random.PCG64([int(seed), *map(int, streams)]))
 
 
+class Spread:
+    """Numbers from 0 to 1 from a seed, for waits that must not fall in step; a linear congruential generator."""
+
+    def __init__(self, seed):
+        self.state = seed & (2**64 - 1)
+
+    def random(self):
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2**64
+        return (self.state >> 33) / 2**31
+
+
 def on_signal(names, call):
     for name in names:
         gevent.signal_handler(getattr(signals, name), call)
--- a/gannetfront/proxy/flights.py
+++ b/gannetfront/proxy/flights.py
@@ -1,16 +1,21 @@
 """One dispatch on a socket, and what each thing that can happen there proves. The table is docs/proxy.md's.
 
 What proves that nothing ran: no connection, no byte written, or the node's own word that it has not begun. One byte
-out and anything but a whole answer: it may have run.
+out and anything but a whole answer: it may have run. Under a protocol whose nodes begin at the last byte (the reader's
+`begins_whole`) that byte is the one that counts. The protocol itself is the reader's.
 """
 from .. import host
-from ..interface import CANCELLED, MOOT, RESET, TIMEOUT, UNCONNECTED
-from ..wire import http, invocation
+from ..interface import CANCELLED, FULL, MOOT, RESET, TIMEOUT, UNCONNECTED
+from ..wire import BadAnswer
+
+# Why there is no connection, where that says nothing of whether the node is there: it said that it takes no more, or this
+# proxy has none to spare. Nothing ran either way.
+TURNED = {"turned away": FULL, "pool full": MOOT, "emfile": MOOT, "enfile": MOOT}
 
 
 class Flight:
-    def __init__(self, addr, data, limit, answer_limit):
-        self.addr, self.data, self.limit, self.answer_limit = addr, data, limit, answer_limit
+    def __init__(self, addr, data, limit, reader):
+        self.addr, self.data, self.limit, self.reader = addr, data, limit, reader
         self.stop, self.begun = host.Once(), host.now()
 
     def left(self):
@@ -25,8 +30,8 @@
                 return UNCONNECTED, None
             try:
                 stream, fresh = pool.take(self.left())
-            except host.Refused:
-                return UNCONNECTED, None
+            except host.Refused as trouble:
+                return TURNED.get(trouble.kind, UNCONNECTED), None
             status, answer = UNCONNECTED, None
             try:
                 if self.stop.ready():
@@ -43,12 +48,12 @@
         try:
             stream.send(self.data, max(1.0, self.left()))
         except host.Late:
-            return (TIMEOUT if stream.sent else UNCONNECTED), None
+            return (UNCONNECTED if self.unsent(stream) else TIMEOUT), None
         except OSError:
-            if not stream.sent:
+            if self.unsent(stream):
                 return UNCONNECTED, None
             # The node may have answered and closed before the request was whole: read what it said.
-        reader = http.AnswerReader(self.answer_limit)
+        reader = self.reader
         while not reader.whole:
             try:
                 data = stream.recv_or(self.stop, 65536, max(1.0, self.left()))
@@ -58,10 +63,13 @@
                 reader.feed(data)
             except host.Late:
                 return TIMEOUT, None
-            except (OSError, http.BadAnswer):
+            except (OSError, BadAnswer):
                 return RESET, None
             if not data and not reader.whole:
                 return RESET, None
         if stream.sent < len(self.data):
             reader.extra = True     # the node still owes the rest a reading: its connection is not used again
-        return invocation.outcome_of(reader.status, reader.headers), reader
+        return reader.outcome(), reader
+
+    def unsent(self, stream):
+        return stream.sent < (len(self.data) if self.reader.begins_whole else 1)
--- a/gannetfront/proxy/links.py
+++ b/gannetfront/proxy/links.py
@@ -1,4 +1,4 @@
-"""The proxy's two links: the control stream, which resumes, and datagrams to other proxies, which may be lost."""
+"""The proxy's link to the controllers: the control stream, which resumes."""
 from .. import host
 from ..interface import ERROR, FULL, MOOT, SUCCEEDED, TIMEOUT
 from ..wire import control_pb2 as c, frames
@@ -179,30 +179,3 @@
     def ask_whole(self):
         if not self.up or not self.out.put(frames.pack(ask=c.Ask(whole=True))):
             self.tell("listed", "failed", ())
-
-
-class Signals:
-    """Datagrams: two bytes of the sender's number, then at most 256 of payload. Only known peers are heard."""
-
-    def __init__(self, me, at, tell):
-        self.me, self.tell, self.peers, self.names = me, tell, {}, {}
-        self.port = host.Datagrams(at)
-
-    def on_peers(self, message):
-        told = {p.id: p.address for p in message.peers if p.id != str(self.me)}
-        self.peers = {**self.peers, **told} if message.more else told
-        self.names = {address: int(ident) for ident, address in self.peers.items() if ident.isdigit()}
-
-    def send(self, target, payload):
-        for ident, address in self.peers.items():
-            if target in ("*", ident):
-                self.port.send(address, self.me.to_bytes(2, "big") + payload[:256])
-
-    def run(self):
-        while True:
-            got = self.port.recv(512)
-            if got is None:
-                return
-            data, sender = got
-            if 2 < len(data) <= 258 and self.names.get(sender) == int.from_bytes(data[:2], "big"):
-                self.tell("peer", self.names[sender], data[2:])
--- a/gannetfront/proxy/pools.py
+++ b/gannetfront/proxy/pools.py
@@ -7,8 +7,11 @@
 
 
 class Pool:
-    def __init__(self, addr, most, idle, connect_limit):
+    def __init__(self, addr, most, idle, connect_limit, connect=host.connect, room=lambda: True):
+        """`connect(addr, limit)` gives a stream that can carry a request, or raises host.Refused; `room()` tells whether
+        one more descriptor may be had."""
         self.addr, self.most, self.idle_limit, self.connect_limit = addr, most, idle, connect_limit
+        self.connect, self.room, self.retired = connect, room, False
         self.out, self.idle = 0, []     # idle: (since, stream), oldest first
 
     def take(self, limit):
@@ -21,18 +24,19 @@
                 self.out += 1
                 return stream, False
             stream.close()
-        if self.out + len(self.idle) >= self.most:
+        if self.out + len(self.idle) >= self.most or not self.room():
             raise host.Refused("pool full")
         self.out += 1
         try:
-            return host.connect(self.addr, min(self.connect_limit, limit)), True
+            return self.connect(self.addr, min(self.connect_limit, limit)), True
         except BaseException:
             self.out -= 1
             raise
 
     def give(self, stream, reusable):
         self.out -= 1
-        if reusable and stream.open:
+        # Bytes behind an answer are nobody's: the next request here must not take them for its own.
+        if reusable and stream.open and not self.retired and not stream.waiting():
             self.idle.append((host.now(), stream))
         else:
             stream.close()
@@ -44,8 +48,8 @@
 
 
 class Pools:
-    def __init__(self, most, idle, connect_limit):
-        self.facts, self.by_addr, self.idle = (most, idle, connect_limit), {}, idle
+    def __init__(self, most, idle, connect_limit, *ways):
+        self.facts, self.by_addr, self.idle = (most, idle, connect_limit, *ways), {}, idle
 
     def of(self, addr):
         if addr not in self.by_addr:
@@ -56,6 +60,21 @@
         if addr in self.by_addr:
             self.by_addr[addr].close_idle()
 
+    def retire(self, addr):
+        """What answers there from now on is another process: nothing that was open is used for it."""
+        pool = self.by_addr.pop(addr, None)
+        if pool:
+            pool.retired = True
+            pool.close_idle()
+
+    def oldest_idle(self):
+        """Closes the connection that has idled longest; False where none does."""
+        some = [pool for pool in self.by_addr.values() if pool.idle]
+        if some:
+            pool = min(some, key=lambda pool: pool.idle[0][0])
+            pool.idle.pop(0)[1].close()
+        return bool(some)
+
     def sweep(self, listed):
         """Closes what idled too long; forgets nodes no longer listed that hold nothing."""
         for addr in list(self.by_addr):
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -7,12 +7,13 @@
 from ..config import load
 from ..interface import CANCELLED, MOOT, SIDE_EFFECTING, SUCCEEDED
 from ..trail.log import Trail
-from ..wire import control_pb2 as c, http
+from ..wire import control_pb2 as c, http, invocation
 from .clients import Clients
 from .kept import KeptList
-from .links import ControlLink, Signals
+from .links import ControlLink
 from .pools import Pools
 from .rounds import Rounds
+from .signals import Signals
 from .tenants import Listed, Tenants
 
 
@@ -24,7 +25,7 @@
         self.kept, self.stage, self.began = KeptList(), None, host.now()
         self.pools = Pools(mine.pool_cap, mine.pool_idle, mine.connect_limit)
         self.rounds = Rounds(lambda: Balancer(mine.seed, facts), mine.tick, mine.most_held, mine.answer_limit,
-                             self.pools, log, mine.me)
+                             self.pools, log, mine.me, invocation)
         self.rounds.refill, self.rounds.slo_times = self.refill, [o.slo_time for o in facts.operations]
         self.rounds.build_of = lambda addr: self.kept.nodes[addr][0][2] if addr in self.kept.nodes else 0
         self.warm_within = facts.warm_within
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -6,29 +6,23 @@
 from .. import host
 from ..calm.storm import Watch
 from ..interface import MOOT, SUCCEEDED
-from ..trail.log import Refused
-from ..wire import http, invocation
+from ..trail import Refused
 from .carrier import Carrier
 from .flights import Flight
 
 
-class Request:      # what of an invocation its dispatches carry
-    __slots__ = "path", "headers", "body", "done", "begun", "tenant"
+class Asked:        # what of an invocation its dispatches carry; its content is read by the codec alone
+    __slots__ = "content", "name", "done", "begun", "tenant"
 
-    def __init__(self, path, headers, body):
-        self.path, self.headers, self.body, self.done, self.begun = path, headers, body, host.Once(), host.now()
-
-    @property
-    def name(self):
-        """What its client calls it, for the trail."""
-        return (http.header(self.headers, b"x-request-id") or http.header(self.headers, b"idempotency-key") or b"").decode(
-            "latin-1")[:200]
+    def __init__(self, content, name, tenant):
+        self.content, self.name, self.tenant, self.done, self.begun = content, name, tenant, host.Once(), host.now()
 
 
 class Rounds:
-    def __init__(self, make, tick, most_held, answer_limit, pools, log, me):
-        """`make()` gives a fresh Balancer: at the start, and again should a round ever raise."""
-        self.tick, self.most_held, self.answer_limit = tick, most_held, answer_limit
+    def __init__(self, make, tick, most_held, answer_limit, pools, log, me, codec):
+        """`make()` gives a fresh Balancer: at the start, and again should a round ever raise. `codec` is the protocol to
+        nodes: name_of(content), dispatch(content, addr, name, seq, limit) and Reply(limit), a reader of answers."""
+        self.tick, self.most_held, self.answer_limit, self.codec = tick, most_held, answer_limit, codec
         self.pools, self.logger, self.name = pools, log, b"proxy/%d" % me
         self.box, self.flights, self.last = host.Mailbox(4 * most_held + 4096), {}, -1e9
         self.link, self.signals, self.said = None, None, ""
@@ -50,12 +44,12 @@
         """What was put straight into the carrier is met in the next round."""
         self.box.put(None)
 
-    def take(self, op, tenant, key, left, path, headers, body):
+    def take(self, op, tenant, key, left, *content):
         """A Held, or None when as many as may be are held: then it was not taken."""
         if len(self.held) >= self.most_held or len(self.box) >= self.box.most - 1024:
             return None
-        held = self.carrier.take(op, tenant, key, host.now() + left, left, Request(path, headers, body))
-        held.extra.tenant = tenant
+        asked = Asked(content, self.codec.name_of(content), tenant)
+        held = self.carrier.take(op, tenant, key, host.now() + left, left, asked)
         self.wake()
         return held
 
@@ -104,23 +98,20 @@
             flight.stop.set()
 
     def launch(self, held, seq, addr, limit):
-        asked = held.extra
-        headers = invocation.onward(asked.headers) + [
-            (b"gannet-from", self.name), (b"gannet-dispatch", b"%d" % seq), (b"gannet-time-limit-ms", b"%.0f" % limit)]
-        data = http.request(asked.path, addr.encode(), headers, asked.body)
-        flight = self.flights[held.ident, seq] = Flight(addr, data, limit, self.answer_limit)
+        data = self.codec.dispatch(held.extra.content, addr, self.name, seq, limit)
+        flight = self.flights[held.ident, seq] = Flight(addr, data, limit, self.codec.Reply(self.answer_limit))
         host.spawn(self.fly, held, seq, flight, self.carrier.life)
 
     def fly(self, held, seq, flight, life):
         status, answer = self.recorded(held, seq, flight)
         if status == SUCCEEDED:
-            self.carrier.end(held, SUCCEEDED, answer.status, answer.headers, answer.body)
+            self.carrier.end(held, SUCCEEDED, *answer.content())
         took = host.now() - flight.begun
         if life == self.carrier.life:
             del self.flights[held.ident, seq]
             self.observe(flight.addr, held.op, status, took)
             self.watch.dispatched(self.build_of(flight.addr), status, status == SUCCEEDED)
-            self.carrier.landed(held, seq, life, flight.addr, status, took, invocation.load_of(answer) if answer else {})
+            self.carrier.landed(held, seq, life, flight.addr, status, took, answer.load() if answer else {})
             self.wake()
 
     def recorded(self, held, seq, flight):
--- a/gannetfront/trail/log.py
+++ b/gannetfront/trail/log.py
@@ -4,15 +4,11 @@
 counted and the count is written when there is room again. It recovers by itself.
 """
 from .. import host
-from . import records
+from . import Refused, records
 
 ENDING, RETRY, WAITING = ".trail", 500.0, 20000
 
 
-class Refused(Exception):
-    """It could not be written down."""
-
-
 class Trail:
     """`delay` ms at most from a record to its sync; `rotate` bytes a segment; `keep` sealed segments."""
 
--- a/gannetfront/wire/http.py
+++ b/gannetfront/wire/http.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from . import BadAnswer
+
 # RFC 9110 7.6.1, and what each hop sets for itself.
 HOP = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
        b"content-length", b"expect", b"host"}
@@ -20,10 +22,6 @@
         self.status, self.why = status, why
 
 
-class BadAnswer(Exception):
-    pass
-
-
 class RequestReader:
     """`feed(bytes)`; whole requests wait in `ready` as (method, path, headers, body, keep). `begun` is True while a
     request is part read, `wants_continue` once where its client waits for '100 Continue'."""
--- a/gannetfront/wire/invocation.py
+++ b/gannetfront/wire/invocation.py
@@ -11,7 +11,7 @@
 from math import ceil, isfinite
 
 from ..interface import ERROR, FULL, SUCCEEDED
-from .http import BadRequest, answer, carried, header
+from .http import AnswerReader, BadRequest, answer, carried, header, request
 
 OURS = {b"gannet-patience-ms", b"gannet-from", b"gannet-dispatch", b"gannet-time-limit-ms", b"gannet-answer",
         b"gannet-unseen", b"gannet-retry-after-ms"}
@@ -52,25 +52,44 @@
     return [(k, v) for k, v in carried(headers) if k not in OURS]
 
 
-def outcome_of(status, headers):
-    """A node's whole answer as an outcome: what is below 500 is the service's own answer."""
-    if status == 503 and header(headers, b"gannet-unseen") == b"1":
-        return FULL
-    return SUCCEEDED if status < 500 else ERROR
-
-
-def load_of(answer):
-    """A node's report of its load, {name: figure}; what cannot be read is left out."""
-    load = {}
-    for part in (header(answer.headers, b"gannet-load") or b"").split(b","):
-        name, _, figure = part.strip().partition(b"=")
-        try:
-            value = float(figure)
-        except ValueError:
-            continue
-        if isfinite(value) and value >= 0 and len(load) < 4:
-            load[name.decode("latin-1")] = value
-    return load
+def name_of(content):
+    """What its client calls an invocation, for the trail."""
+    _, headers, _ = content
+    return (header(headers, b"x-request-id") or header(headers, b"idempotency-key") or b"").decode("latin-1")[:200]
+
+
+def dispatch(content, addr, name, seq, limit):
+    """The bytes that a node gets."""
+    path, headers, body = content
+    mine = [(b"gannet-from", name), (b"gannet-dispatch", b"%d" % seq), (b"gannet-time-limit-ms", b"%.0f" % limit)]
+    return request(path, addr.encode(), onward(headers) + mine, body)
+
+
+class Reply(AnswerReader):
+    """A node's answer, as a dispatch reads it."""
+    begins_whole = False    # a node may begin on the head of a request
+
+    def outcome(self):
+        """What is below 500 is the service's own answer."""
+        if self.status == 503 and header(self.headers, b"gannet-unseen") == b"1":
+            return FULL
+        return SUCCEEDED if self.status < 500 else ERROR
+
+    def content(self):
+        return self.status, self.headers, self.body
+
+    def load(self):
+        """A node's report of its load, {name: figure}; what cannot be read is left out."""
+        load = {}
+        for part in (header(self.headers, b"gannet-load") or b"").split(b","):
+            name, _, figure = part.strip().partition(b"=")
+            try:
+                value = float(figure)
+            except ValueError:
+                continue
+            if isfinite(value) and value >= 0 and len(load) < 4:
+                load[name.decode("latin-1")] = value
+        return load
 
 
 def succeeded(status, headers, body, keep):
--- /dev/null
+++ b/gannetfront/wire/platform.py
@@ -0,0 +1,183 @@
+"""The platform's words without I/O: the release API's forms, XML and event stream, and discovery's JSON.
+
+Everything is read whole and checked, or BadAnswer is raised and nothing of it holds.
+"""
+import json
+import re
+from math import isfinite
+from urllib.parse import parse_qsl, urlencode
+from xml.etree import ElementTree
+
+import httptools
+
+from ..interface import DRAINING, ERROR, FULL, GONE, MOOT, READY, SUCCEEDED, TIMEOUT
+from . import BadAnswer
+
+PHASES = "Progressing", "Aborting", "Healthy", "Aborted"
+VERDICTS = "abstain", "promote", "pause", "abort"
+STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
+REFUSALS = {"limit": FULL, "moot": MOOT, "error": ERROR, "malformed": ERROR}
+LINE_LIMIT = 4096       # bytes of a line of the event stream
+MOST_BUILD = 65535
+
+
+def whole_number(text, what, most=1 << 31):
+    if not isinstance(text, str) or not re.fullmatch(r"[0-9]{1,15}", text) or int(text) > most:
+        raise BadAnswer(f"{what} is no whole number: {str(text)[:40]!r}")
+    return int(text)
+
+
+def figure(text, what, most=1e15):
+    if not isinstance(text, str) or not re.fullmatch(r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?", text):
+        raise BadAnswer(f"{what} is no number: {str(text)[:40]!r}")
+    value = float(text)
+    if not isfinite(value) or value > most:
+        raise BadAnswer(f"{what} is past {most}: {text[:40]!r}")
+    return value
+
+
+# ---- the release API ----
+
+def state(fields):
+    """(stage, age in ms, cap, build, phase) of the newest build, from names and texts."""
+    phase = fields.get("phase")
+    if phase not in PHASES:
+        raise BadAnswer(f"no phase: {str(phase)[:40]!r}")
+    return (whole_number(fields.get("stage"), "stage", 1000), figure(fields.get("age_ms"), "age_ms"),
+            figure(fields.get("cap"), "cap", 1.0), whole_number(fields.get("build"), "build", MOST_BUILD),
+            PHASES.index(phase))
+
+
+def counts(fields, operations):
+    """The decisions' (dispatches, age, bad, mean time, operation, build); `operations` maps names to an index."""
+    if fields.get("class") not in operations:
+        raise BadAnswer(f"no class: {str(fields.get('class'))[:40]!r}")
+    all_of, bad = whole_number(fields.get("count"), "count"), whole_number(fields.get("failed"), "failed")
+    if bad > all_of:
+        raise BadAnswer("more failed than were counted")
+    return (all_of, figure(fields.get("age_ms"), "age_ms"), bad, figure(fields.get("mean_ms"), "mean_ms"),
+            operations[fields["class"]], whole_number(fields.get("build"), "build", MOST_BUILD))
+
+
+def vote(stage, build, verdict):
+    """A vote's form."""
+    return urlencode({"Action": "CastVote", "build": build, "stage": stage, "verdict": VERDICTS[verdict]}).encode()
+
+
+def vote_answer(status, body):
+    """(status, state or None) of a vote's answer. What cannot be read may have been carried out: a timeout."""
+    try:
+        if b"<!" in body:
+            raise BadAnswer("a document type has no place here")
+        try:
+            tree = ElementTree.fromstring(body)
+        except ElementTree.ParseError as trouble:
+            raise BadAnswer(str(trouble)) from None
+        if status == 200:
+            items = tree.findall("./groups/item")
+            if tree.tag != "Response" or len(items) != 1 or len({x.tag for x in items[0]}) != len(items[0]):
+                raise BadAnswer("not one state")
+            return SUCCEEDED, state({x.tag: x.text for x in items[0]})
+        code = tree.findtext("./Code")
+        if tree.tag != "Error" or code not in REFUSALS or (status == 500) != (code == "error") or status not in (400, 500):
+            raise BadAnswer("no refusal known here")
+        return REFUSALS[code], None
+    except BadAnswer:
+        return TIMEOUT, None
+
+
+def news(told):
+    """The state that the configuration holds, an object with JSON's numbers."""
+    if not isinstance(told, dict):
+        raise BadAnswer("news is no object")
+    return state({name: value if isinstance(value, str) else repr(value) for name, value in told.items()
+                  if not isinstance(value, bool)})
+
+
+class Notices:
+    """The event stream. `feed(bytes)` gives what was told, [(event, {name: text})]; an event that cannot be read is counted
+    in `unread` and left out. Raises BadAnswer where the stream itself cannot be read on."""
+
+    def __init__(self):
+        self.parser, self.line, self.event, self.data, self.told = httptools.HttpResponseParser(self), b"", "", None, []
+        self.unread, self.ended, self.good = 0, False, False
+
+    def feed(self, data):
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as trouble:
+            raise BadAnswer(str(trouble)[:200]) from None
+        if len(self.line) > LINE_LIMIT:
+            raise BadAnswer("a line that does not end")
+        told, self.told = self.told, []
+        return told
+
+    def on_headers_complete(self):
+        self.good = self.parser.get_status_code() == 200
+
+    def on_message_complete(self):
+        self.ended = True
+
+    def on_body(self, data):
+        if not self.good:
+            return
+        *lines, self.line = (self.line + data).split(b"\n")
+        for line in lines:
+            self.on_line(line.rstrip(b"\r"))
+
+    def on_line(self, line):
+        if not line:
+            if self.data is not None:
+                pairs = parse_qsl(self.data, keep_blank_values=True, max_num_fields=32) if self.data.count("&") < 32 else []
+                if len(dict(pairs)) == len(pairs) > 0:
+                    self.told.append((self.event, dict(pairs)))
+                else:
+                    self.unread += 1
+            self.event, self.data = "", None
+            return
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ").decode("latin-1")[:LINE_LIMIT]
+        if name == b"event":
+            self.event = value
+        elif name == b"data":
+            self.data = value if self.data is None else (self.data + "\n" + value)[:LINE_LIMIT]
+
+
+# ---- discovery ----
+
+class Listing:
+    """Reads discovery's answers by the names of zones and kinds that the settings have."""
+
+    def __init__(self, zones, kinds):
+        self.zones, self.kinds = ({name: n for n, name in enumerate(names)} for names in (zones, kinds))
+
+    def read(self, body):
+        """(version, whole, [(entry for the decisions but its start, dial, born in Unix ms)])."""
+        try:
+            return self.listing(json.loads(body))
+        except (ValueError, RecursionError) as trouble:
+            raise BadAnswer(f"no JSON: {str(trouble)[:100]}") from None
+
+    def listing(self, told):
+        if not isinstance(told, dict) or type(told.get("seq")) is not int or type(told.get("whole")) is not bool:
+            raise BadAnswer("a listing needs seq, a whole number, and whole, true or false")
+        hosts = told.get("hosts")
+        if not isinstance(hosts, list):
+            raise BadAnswer("hosts is no list")
+        return told["seq"], told["whole"], [self.entry(one) for one in hosts]
+
+    def entry(self, one):
+        if not isinstance(one, dict):
+            raise BadAnswer("an entry is no object")
+        get = one.get
+        fits = (isinstance(get("host"), str) and 0 < len(get("host")) <= 256, isinstance(get("dial"), str)
+                and re.fullmatch(r"[0-9.]{7,15}:[0-9]{1,5}", get("dial")), get("site") in self.zones,
+                get("class") in self.kinds, type(get("block")) is int, get("health") in STATES,
+                type(get("share")) in (int, float) and 0 < get("share") < 1e9,
+                type(get("born_ms")) in (int, float) and 0 <= get("born_ms") < 1e15,
+                type(get("revision_no")) is int and 0 <= get("revision_no") <= MOST_BUILD)
+        for name, fit in zip("host dial site class block health share born_ms revision_no".split(), fits):
+            if not fit:
+                raise BadAnswer(f"an entry's {name} cannot be {str(get(name))[:40]!r}")
+        return ((one["host"], self.zones[one["site"]], one["revision_no"], self.kinds[one["class"]], one["block"],
+                 STATES[one["health"]], float(one["share"])), one["dial"], float(one["born_ms"]))
