--- a/gannetfront/edge/config.py
+++ b/gannetfront/edge/config.py
@@ -3,6 +3,7 @@
 Whatever is wrong raises BadSetting, which names the variable or the field.
 """
 import json
+from dataclasses import replace
 from math import isfinite
 
 from .. import host
@@ -102,5 +103,8 @@
         peers = told.get("peers") or []
         if not isinstance(peers, list):
             raise BadSetting("peers: must be a list")
-        self.peers = {str(n): place(at, f"peers[{n}]") for n, at in enumerate(peers) if n != self.me}
+        named = {str(n): place(at, f"peers[{n}]") for n, at in enumerate(peers)}
+        self.peers = {ident: at for ident, at in named.items() if ident != str(self.me)}
         self.peer_listen = place(told["peer_listen"], "peer_listen") if told.get("peer_listen") else None
+        if not self.peer_listen:
+            self.facts = replace(self.facts, may_signal=False)      # allowed, but there is no way to the others
--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -54,9 +54,10 @@
             self.moved = moved = host.Once()
             try:
                 stream = host.connect(self.at, 1000.0)
-                while True:
-                    whole = not self.ask(stream, moved, whole)
-                    wait = FIRST_WAIT
+                more = True
+                while more:
+                    more = self.ask(stream, moved, whole)
+                    wait, whole = FIRST_WAIT, False
             except (OSError, host.Refused, host.Late, BadAnswer) as trouble:
                 # What could not be read is dropped whole; the next answer is the whole list.
                 whole = whole or isinstance(trouble, BadAnswer)
@@ -70,7 +71,7 @@
                 wait = min(LAST_WAIT, 2 * wait)
 
     def ask(self, stream, moved, whole):
-        """One call; True once its answer is in force."""
+        """One call; its answer is in force. False where its connection cannot carry another."""
         path = b"/discovery/hosts"
         if not whole:
             path += b"?since=%d&timeout_ms=%d" % (self.version, WATCH)
@@ -93,6 +94,4 @@
             self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
             self.take(version, is_whole, hosts)
         self.version = version
-        if not reader.reusable:
-            raise BadAnswer("bytes behind the answer, or it closes")
-        return True
+        return reader.reusable
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -63,7 +63,7 @@
             raise
 
     def room(self):
-        return self.pools.size() <= self.budget.nodes_most or self.pools.oldest_idle()
+        return self.pools.size() < self.budget.nodes_most or self.pools.oldest_idle()
 
     def refill(self):
         self.rounds.tell("listed", "whole", tuple(entry for entry, _, _ in self.discovery.entries.values()))
@@ -72,13 +72,12 @@
     # ---- life ----
 
     def start(self):
-        host.spawn(self.rounds.run)
+        self.greenlets = [host.spawn(self.rounds.run)]
         host.sleep(0)       # the decisions know the list before anybody comes
-        for call in (self.discovery.run, self.api.run, self.api.listen, self.tend, *(
-                [self.signals.run] if self.signals else [])):
-            host.spawn(call)
         self.listener = host.Listener(self.listen, 4096)
-        host.spawn(host.serve, self.listener, self.clients.handle, self.log)
+        self.greenlets += [host.spawn(call) for call in (self.discovery.run, self.api.run, self.api.listen, self.tend, *(
+            [self.signals.run] if self.signals else []))]
+        self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log))
         self.log.info("serving", at=self.listener.where, nodes=len(self.discovery.entries),
                       clients=self.budget.clients_most, to_nodes=self.budget.nodes_most)
 
@@ -92,8 +91,8 @@
                 rounds, told = self.rounds, host.now()
                 away, self.clients.turned_away = dict(self.clients.turned_away), type(self.clients.turned_away)()
                 self.log.info("standing", held=len(rounds.held), out=len(rounds.flights), clients=len(self.clients.open),
-                              to_nodes=self.pools.size(), rounds=rounds.rounds, decisions_ms=round(rounds.spent - spent),
-                              turned_away=away, ends={f"{k} {o}": n for (k, o), n in sorted(rounds.ends.items())})
+                              to_nodes=self.pools.size(), bound=min(1e6, round(rounds.balancer.limit, 1)),
+                              rounds=rounds.rounds, decisions_ms=round(rounds.spent - spent), turned_away=away, ends={f"{k} {o}": n for (k, o), n in sorted(rounds.ends.items())})
                 spent = rounds.spent
 
     def reload(self):
@@ -114,8 +113,8 @@
         self.stopping = True
         self.log.info("stopping", held=len(self.rounds.held))
         host.sleep(LEAVING)
-        # What the machine has accepted meanwhile was taken: it is read before the listener goes.
-        host.sleep(0)
+        # What the machine has accepted meanwhile was taken: it is met before the listener goes.
+        host.sleep(10)
         self.listener.close()
         while self.clients.open:
             for some in (self.budget.resting, self.budget.silent):
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -5,7 +5,7 @@
 """
 from .. import host
 from ..calm.storm import Watch
-from ..interface import MOOT, SUCCEEDED
+from ..interface import MOOT, RESET, SUCCEEDED
 from ..trail import Refused
 from .carrier import Carrier
 from .flights import Flight
@@ -103,7 +103,12 @@
         host.spawn(self.fly, held, seq, flight, self.carrier.life)
 
     def fly(self, held, seq, flight, life):
-        status, answer = self.recorded(held, seq, flight)
+        try:
+            status, answer = self.recorded(held, seq, flight)
+        except Exception as trouble:  # noqa: BLE001 - whatever a node's bytes led to, its dispatch must have an outcome
+            # Without one the decisions believe it out for ever: its client waits, its node looks loaded.
+            self.logger.error("dispatch failed", why=f"{type(trouble).__name__}: {trouble}", node=flight.addr)
+            status, answer = RESET, None
         if status == SUCCEEDED:
             self.carrier.end(held, SUCCEEDED, *answer.content())
         took = host.now() - flight.begun
--- a/gannetfront/wire/pg.py
+++ b/gannetfront/wire/pg.py
@@ -168,7 +168,7 @@
     """Splits what a node writes; a type or a length that has no place there raises BadAnswer at once, so that a value said to
     have 3 GB is met at its first bytes."""
     SIZES = {b"R": (8, 512), b"S": (6, 2048), b"K": (12, 264), b"N": (5, 8192), b"E": (5, 8192), b"Z": (5, 5),
-             b"T": (6, 512), b"D": (6, VALUE_LIMIT + 10), b"C": (5, 128)}
+             b"T": (6, 512), b"D": (10, VALUE_LIMIT + 10), b"C": (5, 128)}
 
     def __init__(self, limit=1 << 18):
         self.held, self.limit, self.seen, self.code, self.told = bytearray(), limit, 0, None, {}
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -170,9 +170,10 @@
         if not isinstance(one, dict):
             raise BadAnswer("an entry is no object")
         get = one.get
+        among = lambda name, words: isinstance(get(name), str) and get(name) in words
         fits = (isinstance(get("host"), str) and 0 < len(get("host")) <= 256, isinstance(get("dial"), str)
-                and re.fullmatch(r"[0-9.]{7,15}:[0-9]{1,5}", get("dial")), get("site") in self.zones,
-                get("class") in self.kinds, type(get("block")) is int, get("health") in STATES,
+                and re.fullmatch(r"[0-9.]{7,15}:[0-9]{1,5}", get("dial")), among("site", self.zones),
+                among("class", self.kinds), type(get("block")) is int, among("health", STATES),
                 type(get("share")) in (int, float) and 0 < get("share") < 1e9,
                 type(get("born_ms")) in (int, float) and 0 <= get("born_ms") < 1e15,
                 type(get("revision_no")) is int and 0 <= get("revision_no") <= MOST_BUILD)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -38,18 +38,21 @@
         self.at = self.listener.where
         host.spawn(host.serve, self.listener, self.handle, Log())
 
+    def requests(self, stream):
+        reader = http.RequestReader(65536, 1 << 24)
+        while True:
+            while not reader.ready:
+                data = stream.recv(65536, 5000)
+                if not data:
+                    return
+                reader.feed(data)
+            yield reader.ready.pop(0)
+
     def handle(self, stream):
         self.streams.append(stream)
-        reader = http.RequestReader(65536, 1 << 24)
         try:
-            while True:
-                while not reader.ready:
-                    data = stream.recv(65536, 5000)
-                    if not data:
-                        self.ended += 1
-                        return
-                    reader.feed(data)
-                self.seen.append(reader.ready.pop(0))
+            for request in self.requests(stream):
+                self.seen.append(request)
                 acts = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
                 for act in acts if isinstance(acts, list) else [acts]:
                     if act == "reset":
@@ -63,7 +66,8 @@
                     elif isinstance(act, (int, float)):
                         host.sleep(act)
                     else:
-                        stream.send(act, 1000)
+                        stream.send(act(request) if callable(act) else act, 1000)
+            self.ended += 1
         except (OSError, host.Late):
             self.ended += 1
 
