--- a/gannetfront/edge/clients.py
+++ b/gannetfront/edge/clients.py
@@ -4,7 +4,7 @@
 from .. import host
 from ..interface import SUCCEEDED
 from ..wire import pg
-from .budget import BAD_IN_A_ROW, IDLE_LIMIT, OWED, PIPELINED, START_LIMIT, WRITE_LIMIT
+from .budget import BAD_IN_A_ROW, IDLE_LIMIT, OVERDUE, OWED, PIPELINED, START_LIMIT, WRITE_LIMIT
 from .config import MARGIN
 
 
@@ -65,7 +65,7 @@
             try:
                 if self.owed:
                     held = self.owed[0][0]
-                    left = held.deadline + MARGIN / 2 - host.now()
+                    left = held.deadline + OVERDUE - host.now()
                     if self.last or len(self.owed) >= OWED:
                         held.extra.done.wait(left)
                         continue
@@ -75,6 +75,8 @@
                     data = stream.recv(65536, since + limit - host.now())
             except host.Late:
                 if not self.owed:
+                    if stream.waiting():
+                        continue    # it came as the time ran out, or while the loop was held up: it was taken
                     raise
                 # Nothing decided in time, whatever the reason: the client must hear something while it listens.
                 self.all.log.error("answer overdue", inv=held.ident)
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -50,12 +50,14 @@
                 data = stream.recv(65536, end - host.now())
                 if data:
                     greeting.feed(data)
-                if greeting.code in pg.TURNED_AWAY:
-                    raise host.Refused("turned away")
                 if not data or greeting.code:
-                    raise host.Refused("no greeting")
+                    raise host.Refused("turned away")
             return stream
-        except (OSError, host.Late, BadAnswer):
+        except (OSError, BadAnswer):
+            # It answered the call and then broke off: not a process that is gone, as one that refuses calls is.
+            stream.close()
+            raise host.Refused("turned away") from None
+        except host.Late:
             stream.close()
             raise host.Refused("no greeting") from None
         except BaseException:
--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -17,6 +17,7 @@
 from greenlet import getcurrent
 
 READ, WRITE = 1, 2
+gevent.config.track_greenlet_tree = False       # each spawn would copy its caller's stack for a debugger nobody uses
 
 
 class Late(Exception):
--- a/gannetfront/proxy/pools.py
+++ b/gannetfront/proxy/pools.py
@@ -35,8 +35,7 @@
 
     def give(self, stream, reusable):
         self.out -= 1
-        # Bytes behind an answer are nobody's: the next request here must not take them for its own.
-        if reusable and stream.open and not self.retired and not stream.waiting():
+        if reusable and stream.open and not self.retired:
             self.idle.append((host.now(), stream))
         else:
             stream.close()
