An operation is held off by the middle of its last few times, not by their mean

Checked: the last times of each operation in the log: five of 1 to 6 ms and one of 975 ms, a dispatch that fell silent; their mean, 165 ms, is past 0.6 of the SLO time (250 ms). At fault: balance.py stuck(). Ruled out: the bound on open invocations (never in force), cold or full servers (none).

It may be slower to see an operation that waits only at a third of all servers.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -248,10 +248,11 @@
 
     def stuck(self, op):
         """One operation waits at every server, in the places of the others, which do not: all but a trickle
-        is throttled. It hurts an operation that really takes so much longer than the rest."""
-        took = [[t for at, t in means if at > self.now - 2 * MEMORY] for means in self.means]
-        mean = [sum(x) / len(x) if x else 1e18 for x in took]
-        return 1e18 > mean[op] > min(mean) + 0.6 * self.ops[op].slo_time
+        is throttled. It hurts an operation that really takes so much longer than the rest. By the middle of
+        the last few: a mean would take one dispatch that fell silent for all servers."""
+        took = [sorted(t for at, t in means if at > self.now - 2 * MEMORY) for means in self.means]
+        usual = [x[len(x) // 2] if len(x) > 2 else 1e18 for x in took]
+        return 1e18 > usual[op] > min(usual) + 0.6 * self.ops[op].slo_time
 
     def choose(self, pool, op, inv):
         """Two random choices by size, two more from home where crossing is priced; all if none will do."""
