--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -364,11 +364,8 @@
             if status == UNCONNECTED:   # its process is gone; what answers there next is cold
                 server.since, self.weigh_at = self.now, min(self.weigh_at, self.now + 4 * SWEEP)
             took = time_taken if status in (SUCCEEDED, TIMEOUT) else None
-            # A client's patience that ends before most answers come says nothing against the server.
-            hasty = status == TIMEOUT and time_taken < 2 * (self.typical or 0.15 * op.slo_time)
-            wrong = status != SUCCEEDED and not hasty
-            server.recent = server.recent[-15:] + [(self.now, took, wrong)]
-            self.times.append((self.now, took, server.zone, wrong))
+            server.recent = server.recent[-15:] + [(self.now, took, status != SUCCEEDED)]
+            self.times.append((self.now, took, server.zone, status != SUCCEEDED))
             if status in (SUCCEEDED, TIMEOUT):
                 self.means[inv.op].append((self.now, time_taken))
                 self.answers.append((tried[3], time_taken / op.slo_time))
