A refused vote is read for what it says: the error stands within a Response

Checked: the answers as they came, `<Response><Error><Code>moot</Code></Error></Response>`, status 400. At fault: wire/platform.py vote_answer, which took an Error at the root only, as the protocol's short form shows it; both are read now.

--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -78,8 +78,9 @@
             if tree.tag != "Response" or len(items) != 1 or len({x.tag for x in items[0]}) != len(items[0]):
                 raise BadAnswer("not one state")
             return SUCCEEDED, state({x.tag: x.text for x in items[0]})
-        code = tree.findtext("./Code")
-        if tree.tag != "Error" or code not in REFUSALS or (status == 500) != (code == "error") or status not in (400, 500):
+        error = tree if tree.tag == "Error" else tree.find("./Error")
+        code = error.findtext("./Code") if error is not None else None
+        if tree.tag not in ("Error", "Response") or code not in REFUSALS or (status == 500) != (code == "error") or status not in (400, 500):
             raise BadAnswer("no refusal known here")
         return REFUSALS[code], None
     except BadAnswer:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -162,6 +162,7 @@
 
 @pytest.mark.parametrize("status, body, meant", [
     (400, b"<Error><Code>limit</Code></Error>", i.FULL), (400, b"<Error><Code>moot</Code></Error>", i.MOOT),
+    (400, b'<?xml version="1.0"?>\n<Response><Error><Code>moot</Code></Error></Response>', i.MOOT),
     (500, b"<Error><Code>error</Code></Error>", i.ERROR), (400, b"<Error><Code>malformed</Code></Error>", i.ERROR),
     (200, b"<Error><Code>moot</Code></Error>", i.TIMEOUT), (400, b"<Error><Code>what</Code></Error>", i.TIMEOUT),
     (200, b"<Response><groups><item><build>x", i.TIMEOUT), (200, b"noise", i.TIMEOUT), (200, b"", i.TIMEOUT),
