Errors of a build are proven by all of its stage or by the last six seconds alone

Checked: the stream of notices as it came. Ruled out: reading of notices, order of states, spoilt answers.

Change: balance.py evidence(): the errors of the last MEMORY alone are a second row; the one that proves more counts. Two looks raise false alarms a little; the allowance stands for both.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -536,7 +536,10 @@
             # Not resets, which a broken link brings any build; since the stage began, lest idle ones hide it.
             own = [(*k, 1) for k in self.seen.get((self.ver, op), ()) if k[0] > self.staged_at]
             old = [(*k, 1) for k in earlier(self.seen, op)]
-            rows[2].append(pair(lambda k: k[2] == ERROR, (own, old), usual))
+            # And of the last seconds alone: a release told late leaves idle ones of the trial in the count.
+            last = [k for k in own if k[0] > self.now - MEMORY]
+            rows[2].append(max((pair(lambda k: k[2] == ERROR, (some, old), usual) for some in (own, last)),
+                               key=lambda row: row[2]))
             rows[3].append(pair(lambda k: k[2] in BROKEN, both))
         return pooled, *rows
 
