--- a/gannetfront/edge/config.py
+++ b/gannetfront/edge/config.py
@@ -12,7 +12,7 @@
 from ..wire.platform import Listing, news
 from .budget import Budget
 
-MARGIN = 5.0        # ms kept back, so that an answer is written before the client's time is up
+MARGIN = 10.0       # ms kept back, so that an answer is written before the client's time is up
 
 
 class BadSetting(Exception):
