One reading of a whole answer; the last stage told is no second copy; two unused names gone

Cause: reading the change again. edge/api.py read an answer in the loop that wire/asking.py has; it kept the stage last told beside the state it is made of, with an age that stood still; wire/pg.py had an unused struct, edge/clients.py an unused flag. Change: asking.read serves asking.ask and the votes; a restart of the decisions tells api.state again; the names are gone. No bound or check is changed.

--- a/gannetfront/edge/api.py
+++ b/gannetfront/edge/api.py
@@ -1,7 +1,7 @@
 """The links to the release API: votes, each called once, and the stream of notices."""
 from .. import host
 from ..interface import ERROR, SUCCEEDED, TIMEOUT
-from ..wire import BadAnswer, http, platform
+from ..wire import BadAnswer, asking, http, platform
 
 LIFE = 3500.0           # ms: the stream shows a sign of life each second, so that one without is not there
 KEPT = 4000.0           # ms that an idle connection for votes is kept; the platform's end comes later
@@ -13,7 +13,7 @@
     def __init__(self, at, operations, answer_wait, tell, spread, log):
         """`operations` maps names to an index; `tell(name, *fields)` passes an event on to the decisions."""
         self.at, self.operations, self.wait, self.tell, self.spread, self.log = at, operations, answer_wait, tell, spread, log
-        self.box, self.newest, self.kept, self.turn, self.stream, self.told = host.Mailbox(16), None, None, 0, None, None
+        self.box, self.newest, self.kept, self.turn, self.stream = host.Mailbox(16), None, None, 0, None
 
     # ---- what is told ----
 
@@ -25,7 +25,6 @@
             if not self.newest or (build, began + SAME) >= (self.newest[3], self.newest[1]):
                 self.newest = stage, began, cap, build, phase
         stage, began, cap, build, phase = self.newest
-        self.told = (False, stage, host.now() - began, cap, SUCCEEDED, build, phase)
         self.tell("stage_told", answer, stage, host.now() - began, cap, status, build, phase)
 
     def move(self, at):
@@ -61,11 +60,8 @@
         reader, stream.sent = http.AnswerReader(65536), 0
         try:
             stream.send(data, left())
-            while not reader.whole:
-                more = stream.recv(65536, left())
-                reader.feed(more)
-                if not more and not reader.whole:
-                    return TIMEOUT, None
+            if not asking.read(stream, reader, left):
+                return TIMEOUT, None
             answer = platform.vote_answer(reader.status, reader.body)
             if reader.reusable and answer[0] != TIMEOUT:
                 self.kept, stream = (host.now(), at, stream), None
--- a/gannetfront/edge/clients.py
+++ b/gannetfront/edge/clients.py
@@ -16,7 +16,7 @@
     def __init__(self, rounds, operations, limits, budget, log):
         """`operations` as wire/pg.statement takes them; `limits` are time limits in ms by operation."""
         self.rounds, self.operations, self.limits, self.budget, self.log = rounds, operations, limits, budget, log
-        self.open, self.ids, self.turned_away, self.stopping = set(), set(), Counter(), False
+        self.open, self.ids, self.turned_away = set(), set(), Counter()
 
     def handle(self, stream):
         try:
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -1,6 +1,7 @@
 """The proxy on the users' platform, assembled: clients' side, rounds, pools, discovery, release API, peers; its life."""
 from .. import host
 from ..balance import Balancer
+from ..interface import SUCCEEDED
 from ..proxy.pools import Pools
 from ..proxy.rounds import Rounds
 from ..proxy.signals import Signals
@@ -36,7 +37,7 @@
             self.signals.know(start.peers)
             self.rounds.signals = self.signals
         self.discovery.take(*start.known, "kept")
-        self.api.state(False, "succeeded", start.news)
+        self.api.state(False, SUCCEEDED, start.news)
 
     # ---- connections to nodes ----
 
@@ -69,7 +70,7 @@
 
     def refill(self):
         self.rounds.tell("listed", "whole", tuple(entry for entry, _, _ in self.discovery.entries.values()))
-        self.rounds.tell("stage_told", *self.api.told)
+        self.api.state(False, SUCCEEDED)
 
     # ---- life ----
 
--- a/gannetfront/wire/asking.py
+++ b/gannetfront/wire/asking.py
@@ -15,16 +15,21 @@
             stream.handshake(left())
         stream.send(http.request(path, at.encode(), [*headers, (b"connection", b"close")], body), left())
         reader = http.AnswerReader(most)
-        while not reader.whole:
-            data = stream.recv(65536, left())
-            reader.feed(data)
-            if not data:
-                break
-        return (reader.status, reader.body) if reader.whole else (0, b"")
+        return (reader.status, reader.body) if read(stream, reader, left) else (0, b"")
     finally:
         stream.close()
 
 
+def read(stream, reader, left):
+    """Reads an answer until it is whole; False where the peer ended before. `left()` are the ms that remain."""
+    while not reader.whole:
+        data = stream.recv(65536, left())
+        reader.feed(data)
+        if not data:
+            break
+    return reader.whole
+
+
 def asked(stream, reader, limit):
     """The next whole request on `stream`, as http.RequestReader gives it, or None where its peer ended. All of it must be here
     within `limit` ms: one that sends a byte now and then holds nothing open. Raises host.Late, OSError or http.BadRequest."""
--- a/gannetfront/wire/pg.py
+++ b/gannetfront/wire/pg.py
@@ -13,7 +13,7 @@
 
 VALUE_LIMIT = 65536                         # bytes of a value
 QUERY_LIMIT = 2 * VALUE_LIMIT + 4096        # a value stands in hexadecimal
-LONG, SHORT = Struct("!I"), Struct("!H")
+LONG = Struct("!I")
 VERSION, TLS, GSS, CANCEL = 196608, 80877103, 80877104, 80877102
 TURNED_AWAY = (b"53300",)
 # What the platform calls the figures of a node's report.
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -80,7 +80,8 @@
             return SUCCEEDED, state({x.tag: x.text for x in items[0]})
         error = tree if tree.tag == "Error" else tree.find("./Error")
         code = error.findtext("./Code") if error is not None else None
-        if tree.tag not in ("Error", "Response") or code not in REFUSALS or (status == 500) != (code == "error") or status not in (400, 500):
+        if (tree.tag not in ("Error", "Response") or code not in REFUSALS or status not in (400, 500)
+                or (status == 500) != (code == "error")):
             raise BadAnswer("no refusal known here")
         return REFUSALS[code], None
     except BadAnswer:
