What came in time is not late, and one place looks again right before a dispatch's first byte

Cause, measured by probes on loopback. (1) host.Port.until: a timer that is due in the same turn of the loop as its socket is called first, so after a hold-up of the loop every wait said "late": 236 of 300 streams with a byte waiting even where socket watchers had the higher priority (64 events a poll), all without it. Answers of nodes became time-outs, connections that were up became nodes that are gone. With a limit below zero and a byte waiting it said "late" 1,000 times of 1,000: `if stream.waiting(): continue` in edge/clients.py went round for ever and never read the request. Tried and not enough: the priority alone. (2) Flight packed the time left before it asked for a connection: one that came up late told a node of time that was over. (3) On a kept connection nothing asked whether the client had left; a send that was stuck halfway waited out its limit though its client was gone.

--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -6,6 +6,7 @@
 """
 import errno
 import os
+import select
 import signal as signals
 import socket
 import ssl
@@ -19,6 +20,7 @@
 from greenlet import getcurrent
 
 READ, WRITE = 1, 2
+POLLED = {READ: select.POLLIN, WRITE: select.POLLOUT}
 gevent.config.track_greenlet_tree = False       # each spawn would copy its caller's stack for a debugger nobody uses
 
 
@@ -264,7 +266,14 @@
                 once.waits.remove(wait)
         if why == "closed":
             raise OSError(errno.EBADF, "closed here")
-        return why
+        # After a loop was held up its timers come before what the same turn would bring: a node's answer or a connection that
+        # was there in time would be called late, and bytes that came at the limit would never be read.
+        return "ready" if why == "late" and self.ready(event) else why
+
+    def ready(self, event):
+        asked = select.poll()
+        asked.register(self.sock, POLLED[event])
+        return bool(asked.poll(0))
 
     def close(self):
         if self.open:
@@ -290,6 +299,10 @@
 
     def send(self, data, limit=None):
         """Sends all of `data`; raises Late or OSError. `sent` holds how many bytes left, whatever happened."""
+        self.send_or(None, data, limit)
+
+    def send_or(self, once, data, limit=None):
+        """As `send`: True, or False as soon as `once` is set while there is no room for more."""
         self.sent, size, end = 0, len(data), None
         while True:
             try:
@@ -297,10 +310,12 @@
             except BlockingIOError:
                 pass
             if self.sent >= size:
-                return
+                return True
+            if once is not None and once.is_set:
+                return False
             if end is None and limit is not None:
                 end = now() + limit
-            if self.until(WRITE, None if end is None else end - now()) == "late":
+            if self.until(WRITE, None if end is None else end - now(), once) == "late":
                 raise Late()
 
     def recv(self, size, limit=None):
@@ -321,15 +336,22 @@
             except BlockingIOError:
                 continue
 
-    def waiting(self):
-        """True where bytes, an end or an error wait to be read: an idle connection must show none."""
+    def peek(self):
+        """The next byte, b'' where the peer's end or a break is what comes next, None where nothing waits to be read."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
-            return True
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
+
+    def waiting(self):
+        """True where bytes, an end or an error wait to be read: an idle connection must show none."""
+        return self.peek() is not None
+
+    def ended(self):
+        """True where the peer's end or a break comes next. A close behind bytes that nobody has read is not seen."""
+        return self.peek() == b""
 
     def reset(self):
         """Closes with a reset instead of an orderly end, as a process that dies does."""
@@ -341,6 +363,33 @@
             self.close()
 
 
+class LingeringCloses:
+    """Orderly ends of streams on which the peer may still be writing: sending ends, what comes is read and dropped until the
+    peer's end, for `limit` ms and `size` bytes at most, then the stream is closed (RFC 9112, 9.6).
+
+    Against a close with bytes unread: it is a reset, which takes with it what was written last and is still on its way. At
+    most `most` linger at a time, so that a flood holds no descriptors: from any other only what has come is dropped."""
+
+    def __init__(self, most, limit, size):
+        self.most, self.limit, self.size, self.lingering = most, limit, size, 0
+
+    def close(self, stream):
+        self.lingering += 1
+        try:
+            stream.sock.shutdown(socket.SHUT_WR)
+            left, end = self.size, now() + (self.limit if self.lingering <= self.most else 0.0)
+            while left > 0:
+                data = stream.recv(min(left, 65536), end - now())
+                if not data:
+                    break
+                left -= len(data)
+        except (OSError, Late):
+            pass    # it broke, or its time is over
+        finally:
+            self.lingering -= 1
+            stream.close()
+
+
 class Secured:
     """A Stream under TLS: the same calls, the handshake in the first of them. Errors of TLS are ssl.SSLError, an OSError."""
 
@@ -457,6 +506,15 @@
             except OSError:
                 return None
 
+    def backlog(self):
+        """The streams that the machine has accepted and nobody has taken yet: a peer may have written on them."""
+        streams = []
+        try:
+            while True:
+                streams.append(Stream(self.sock.accept()[0]))
+        except OSError:
+            return streams      # none is left, or there is no descriptor for one more
+
 
 def serve(listener, handle, log, most=None):
     """Accepts until the listener closes, a greenlet a stream. Past `most` streams a new one is closed at once."""
--- a/gannetfront/proxy/flights.py
+++ b/gannetfront/proxy/flights.py
@@ -14,14 +14,15 @@
 
 
 class Flight:
-    def __init__(self, addr, data, limit, reader, stands=lambda: True):
-        """`stands()` asks the decisions whether it is still to be sent, after whatever it had to wait for."""
-        self.addr, self.data, self.limit, self.reader, self.stands = addr, data, limit, reader, stands
+    def __init__(self, addr, pack, limit, reader, stands=lambda waited: True):
+        """`pack(left)` words the request for a node that is told of `left` ms; `stands(waited)` asks whether it is still to be
+        sent, with whatever it had to wait for."""
+        self.addr, self.pack, self.limit, self.reader, self.stands = addr, pack, limit, reader, stands
         self.stop, self.begun, self.waited = host.Once(), host.now(), False
 
-    def waited_for(self, data):
-        """From here on, with `data` that tells the time left: what the wait took was no node's doing."""
-        self.limit, self.begun, self.data, self.waited = self.left(), host.now(), data(self.left()), True
+    def waited_for(self):
+        """From here on: what the wait took was no node's doing."""
+        self.limit, self.begun, self.waited = self.left(), host.now(), True
 
     def left(self):
         return self.begun + self.limit - host.now()
@@ -39,12 +40,13 @@
                 return TURNED.get(trouble.kind, UNCONNECTED), None
             status, answer, broke, unused = UNCONNECTED, None, None, False
             try:
-                # Against a decision that is old by its first byte: while a disk or a connection was waited for, the node
-                # may have been told to end, the build taken back, its share of the traffic used up.
-                if self.stop.ready() or (fresh or self.waited) and not self.stands():
+                # The one place that looks again right before the first byte. While a disk or a connection was waited for, the
+                # client may have left, the node been told to end, its name become another process's, the build been taken
+                # back, its share of the traffic used up; and what the node is told of the time is what is left by now.
+                if self.stop.ready() or pool.retired or self.left() <= 0 or not self.stands(fresh or self.waited):
                     unused = True
                     return MOOT, None
-                status, answer = self.exchange(stream)
+                status, answer = self.exchange(stream, self.pack(self.left()))
                 broke = True if status == RESET and not self.heard else False if answer else None
             finally:
                 pool.give(stream, unused or answer is not None and answer.reusable, broke)
@@ -52,34 +54,33 @@
             if status != UNCONNECTED or fresh:
                 return status, answer
 
-    def exchange(self, stream):
-        stream.sent, self.heard = 0, False
+    def exchange(self, stream, data):
+        stream.sent, self.heard, unsent = 0, False, lambda: stream.sent < (len(data) if self.reader.begins_whole else 1)
         try:
-            stream.send(self.data, max(1.0, self.left()))
+            if not stream.send_or(self.stop, data, max(1.0, self.left())):
+                stream.reset()
+                return (MOOT if unsent() else CANCELLED), None
         except host.Late:
-            return (UNCONNECTED if self.unsent(stream) else TIMEOUT), None
+            return (UNCONNECTED if unsent() else TIMEOUT), None
         except OSError:
-            if self.unsent(stream):
+            if unsent():
                 return UNCONNECTED, None
             # The node may have answered and closed before the request was whole: read what it said.
         reader = self.reader
         while not reader.whole:
             try:
-                data = stream.recv_or(self.stop, 65536, max(1.0, self.left()))
-                if data is None:
+                came = stream.recv_or(self.stop, 65536, max(1.0, self.left()))
+                if came is None:
                     stream.reset()
                     return CANCELLED, None
-                self.heard = self.heard or bool(data)
-                reader.feed(data)
+                self.heard = self.heard or bool(came)
+                reader.feed(came)
             except host.Late:
                 return TIMEOUT, None
             except (OSError, BadAnswer):
                 return RESET, None
-            if not data and not reader.whole:
+            if not came and not reader.whole:
                 return RESET, None
-        if stream.sent < len(self.data):
+        if stream.sent < len(data):
             reader.extra = True     # the node still owes the rest a reading: its connection is not used again
         return reader.outcome(), reader
-
-    def unsent(self, stream):
-        return stream.sent < (len(self.data) if self.reader.begins_whole else 1)
--- a/gannetfront/proxy/pools.py
+++ b/gannetfront/proxy/pools.py
@@ -90,7 +90,7 @@
             pool = self.by_addr[addr]
             pool.close_idle(self.idle)
             if not pool.out and not pool.idle and addr not in listed:
-                del self.by_addr[addr]
+                self.retire(addr)       # who has it in hand and has not begun begins nothing
 
     def size(self):
         return sum(p.out + len(p.idle) for p in self.by_addr.values())
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -12,10 +12,11 @@
 
 
 class Asked:        # what of an invocation its dispatches carry; its content is read by the codec alone
-    __slots__ = "content", "name", "done", "begun", "tenant"
+    __slots__ = "content", "name", "done", "begun", "tenant", "gone"
 
     def __init__(self, content, name, tenant):
         self.content, self.name, self.tenant, self.done, self.begun = content, name, tenant, host.Once(), host.now()
+        self.gone = lambda: False       # what the client's own socket says, whoever has read it
 
 
 class Rounds:
@@ -114,17 +115,19 @@
 
     def launch(self, held, seq, addr, limit):
         life = self.carrier.life
-        flight = self.flights[held.ident, seq] = Flight(
-            addr, self.packed(held, seq, addr, limit), limit, self.codec.Reply(self.answer_limit),
-            lambda: self.carrier.stands(held, seq, life, host.now()))
-        host.spawn(self.fly, held, seq, flight, life)
 
-    def packed(self, held, seq, addr, limit):
-        return self.codec.dispatch(held.extra.content, addr, self.name, seq, limit)
+        def stands(waited):
+            return held.answer is None and not held.extra.gone() and (
+                not waited or self.carrier.stands(held, seq, life, host.now()))
+        flight = self.flights[held.ident, seq] = Flight(
+            addr, lambda left: self.codec.dispatch(held.extra.content, addr, self.name, seq, left), limit,
+            self.codec.Reply(self.answer_limit), stands)
+        # The pool as of now: what a list calls by this name later is another process than the one decided upon.
+        host.spawn(self.fly, held, seq, flight, life, self.pools.of(addr))
 
-    def fly(self, held, seq, flight, life):
+    def fly(self, held, seq, flight, life, pool):
         try:
-            status, answer = self.recorded(held, seq, flight)
+            status, answer = self.recorded(held, seq, flight, pool)
         except Exception as trouble:  # noqa: BLE001 - whatever a node's bytes led to, its dispatch must have an outcome
             # Without one the decisions believe it out for ever: its client waits, its node looks loaded.
             self.logger.error("dispatch failed", why=f"{type(trouble).__name__}: {trouble}", node=flight.addr)
@@ -139,10 +142,9 @@
             self.carrier.landed(held, seq, life, flight.addr, self.told_as(flight.addr, status), took, answer.load() if answer else {})
             self.wake()
 
-    def recorded(self, held, seq, flight):
+    def recorded(self, held, seq, flight, pool):
         """A dispatch; one that must not run twice only once its intent is on disk. Where that cannot be written it is not
         sent: nothing ran, so its client may be told that a repeat is harmless."""
-        pool = self.pools.of(flight.addr)
         if not self.trail or not self.must[held.op]:
             return flight.fly(pool)
         facts = dict(request=held.extra.name, op=held.op, seq=seq, node=flight.addr)
@@ -152,7 +154,7 @@
             # It may reach the disk yet: whoever reads it there must know that nothing was sent.
             self.trail.append("outcome", status=MOOT, **facts)
             return MOOT, None
-        flight.waited_for(lambda left: self.packed(held, seq, flight.addr, left))
+        flight.waited_for()
         status, answer = flight.fly(pool)
         self.trail.append("outcome", status=status, **facts)
         return status, answer
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -216,7 +216,7 @@
 
 def fly(node, limit=250.0, pool=None, size=0, stop_after=None):
     data = pg.message(b"Q", b"x" * size + b"\0")
-    flight = Flight(node.at, data, limit, pg.Reply(1 << 18))
+    flight = Flight(node.at, lambda left: data, limit, pg.Reply(1 << 18))
     if stop_after:
         host.later(stop_after, flight.stop.set)
     return flight.fly(pool or Pool(node.at, 4, 1000.0, 100.0, greeted))
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -24,7 +24,7 @@
 
 
 def fly(node, data=None, limit=300.0, pool=None, stop_after=None):
-    flight = Flight(node.at, data or codec.request(b"/read", b"x", [], b""), limit, invocation.Reply(1 << 20))
+    flight = Flight(node.at, lambda left: data or codec.request(b"/read", b"x", [], b""), limit, invocation.Reply(1 << 20))
     if stop_after is not None:
         host.later(stop_after, flight.stop.set)
     return flight.fly(pool or Pool(node.at, 4, 1000.0, 200.0))[0]
@@ -79,7 +79,7 @@
     def __init__(self, sent):
         self.allow = sent
 
-    def send(self, data, limit=None):
+    def send_or(self, once, data, limit=None):
         self.sent = min(self.allow, len(data))
         raise ConnectionResetError()
 
@@ -92,8 +92,8 @@
 
 @pytest.mark.parametrize("sent, status", [(0, i.UNCONNECTED), (1, i.RESET)])
 def test_one_byte_out_may_have_run(sent, status):
-    flight = Flight("x", codec.request(b"/debit", b"x", [], b"body"), 100.0, invocation.Reply(1 << 20))
-    assert flight.exchange(Breaks(sent))[0] == status
+    flight = Flight("x", None, 100.0, invocation.Reply(1 << 20))
+    assert flight.exchange(Breaks(sent), codec.request(b"/debit", b"x", [], b"body"))[0] == status
 
 
 def test_answer_before_the_request_is_whole():
@@ -104,7 +104,7 @@
         stream.send(FULL, 1000)
         host.sleep(300)
     host.spawn(host.serve, listener, early, None)
-    assert Flight(listener.where, BIG, 200.0, invocation.Reply(1 << 20)).fly(Pool(listener.where, 4, 1e3, 200.0))[0] in (
+    assert Flight(listener.where, lambda left: BIG, 200.0, invocation.Reply(1 << 20)).fly(Pool(listener.where, 4, 1e3, 200.0))[0] in (
         i.TIMEOUT, i.FULL)
     listener.close()
 
@@ -112,7 +112,7 @@
 def test_node_that_accepts_and_never_reads():
     listener = host.Listener("127.0.0.1:0")
     host.spawn(host.serve, listener, lambda stream: host.sleep(2000), None)
-    assert Flight(listener.where, BIG, 100.0, invocation.Reply(1 << 20)).fly(Pool(listener.where, 4, 1e3, 200.0))[0] == i.TIMEOUT
+    assert Flight(listener.where, lambda left: BIG, 100.0, invocation.Reply(1 << 20)).fly(Pool(listener.where, 4, 1e3, 200.0))[0] == i.TIMEOUT
     listener.close()
 
 
