Every end has one owner: half a request is at work, last answers linger, the backlog is met

Budget.evict and Edge.stop took a connection for idle by its socket alone: with half a startup message or half a query in ClientReader it was closed, in a flood and at SIGTERM. Connections closed after a last answer (too many connections, a message that cannot be read) with bytes unread were reset, which takes the answer with it. With a fatal message or 64 answers waiting Talk did not read, so that a client's close was not seen and its dispatches went on to their limit. Edge.stop closed the listener after 610 ms, whether or not a loop that was held up had met what the machine had accepted; at that moment connections just accepted were not among the open ones. An answer that nobody decided was told only when no more bytes came. Discovery: silent right behind a call, then a connection silent as well: 5.5 + 1 s and more until the next call, where 6 s count as told; a node that a change had called removed still had an address.

Change: a connection's state has a name in Budget (silent, idle, starting, busy) and let_go is the one way in which idle ones end; what cannot be taken is still read, up to a bound; LingeringCloses (sending ends, reading and dropping for 1 s and 256 KiB, 16 at a time; what a flood has sent is dropped and closed); Listener.backlog at both stops; watch of 3 s given up 0.5 s later. The same in the front for HTTP.

--- a/gannetfront/edge/budget.py
+++ b/gannetfront/edge/budget.py
@@ -8,47 +8,57 @@
 SPARE = 48          # program, links, peers, and room for the moment between a close and the next open
 PIPELINED = 8       # open invocations on one connection; more are throttled, as nothing of them ran
 OWED = 64           # answers waiting behind one that is not there yet; reading then pauses
+AHEAD = 136 << 10       # bytes kept of what is written behind those, so that the client's close is still seen
 START_LIMIT = 2000.0    # ms a client has to say who it is, or to finish what it has begun to write
 IDLE_LIMIT = 20000.0    # ms a client may hold a connection between requests
 WRITE_LIMIT = 3000.0    # ms a client may leave its answer unread
 OVERDUE = 20.0      # ms past its time after which an invocation that nobody decided is ended here; the platform grants more
 BAD_IN_A_ROW = 3    # statements that could not be read, after which a connection is closed
 LOOKED_AT = 16      # connections looked at, the longest idle first, for one to let go
+LINGERING, LINGER_LIMIT, LINGER_SIZE = 16, 1000.0, 256 << 10    # connections (of SPARE), ms and bytes read behind a last answer
+
+# What a client's connection is to its owner: nothing was said on it; between requests; part of a startup message was read; at
+# work, which is with part of a request in the reader as much as with an answer owed.
+SILENT, IDLE, STARTING, BUSY = range(4)
 
 
 class Budget:
     def __init__(self, sockets):
         room = max(8, sockets - SPARE)
         self.clients_most, self.nodes_most = room // 2, room - room // 2
-        # Streams of clients without an open invocation, the longest idle first: those that never said who they are, and others.
-        self.silent, self.resting, self.clients = {}, {}, 0
+        self.clients, self.states = 0, ({}, {}, {}, {})     # by state: streams, the longest in it first
 
     def enter(self, stream):
         """A client has come; False where nobody can make room for it."""
         self.clients += 1
-        if self.clients > self.clients_most and not self.evict():
+        if self.clients > self.clients_most and not self.let_go((SILENT, IDLE, STARTING), 1):
             return False
-        self.silent[stream] = True
+        self.states[SILENT][stream] = True
         return True
 
-    def evict(self):
-        for some in (self.silent, self.resting):
-            for stream in list(islice(some, LOOKED_AT)):
+    def let_go(self, states, most=None):
+        """Closes connections that nothing is owed on, in that order; how many."""
+        count = 0
+        for state in states:
+            for stream in list(islice(self.states[state], most and LOOKED_AT)):
                 # A request that has come but is not read yet was taken: its connection is not idle.
                 if not stream.waiting():
-                    del some[stream]
+                    del self.states[state][stream]
                     stream.close()
-                    return True
-        return False
+                    count += 1
+                    if count == most:
+                        return count
+        return count
 
-    def rest(self, stream):
-        if stream not in self.silent:
-            self.resting[stream] = True
+    def mark(self, stream, state):
+        if stream not in self.states[state]:
+            self.forget(stream)
+            self.states[state][stream] = True
 
-    def work(self, stream):
-        self.silent.pop(stream, None)
-        self.resting.pop(stream, None)
+    def forget(self, stream):
+        for some in self.states:
+            some.pop(stream, None)
 
     def leave(self, stream):
-        self.work(stream)
+        self.forget(stream)
         self.clients -= 1
--- a/gannetfront/edge/clients.py
+++ b/gannetfront/edge/clients.py
@@ -4,7 +4,8 @@
 from .. import host
 from ..interface import SUCCEEDED
 from ..wire import pg
-from .budget import BAD_IN_A_ROW, IDLE_LIMIT, OVERDUE, OWED, PIPELINED, START_LIMIT, WRITE_LIMIT
+from .budget import (AHEAD, BAD_IN_A_ROW, BUSY, IDLE, IDLE_LIMIT, LINGER_LIMIT, LINGER_SIZE, LINGERING, OVERDUE, OWED, PIPELINED,
+                     SILENT, START_LIMIT, STARTING, WRITE_LIMIT)
 from .config import MARGIN
 
 
@@ -17,22 +18,26 @@
         """`operations` as wire/pg.statement takes them; `limits` are time limits in ms by operation."""
         self.rounds, self.operations, self.limits, self.budget, self.log = rounds, operations, limits, budget, log
         self.open, self.ids, self.turned_away = set(), set(), Counter()
+        self.lingering = host.LingeringCloses(LINGERING, LINGER_LIMIT, LINGER_SIZE)
 
     def handle(self, stream):
+        self.open.add(stream)
+        close = stream.close
         try:
-            if not self.budget.enter(stream):
+            if self.budget.enter(stream):
+                Talk(self, stream).run()
+            else:
                 self.turned_away["no descriptor"] += 1
                 soonest = min(map(self.rounds.advice, range(len(self.limits))))     # what it wants is not known
                 stream.send(pg.throttled(soonest, "too many connections", True), 0.0)
-                return
-            self.open.add(stream)
-            Talk(self, stream).run()
-        except (OSError, host.Late):
-            pass    # a client that broke off, says nothing or does not read: nobody is there to be told
+            # It ended here, with a last answer that the client may not have read while it still writes.
+            close = lambda: self.lingering.close(stream)
+        except (OSError, host.Late, Left):
+            pass    # a client that left, broke off, says nothing or does not read: nobody is there to be told
         finally:
-            self.open.discard(stream)
             self.budget.leave(stream)
-            stream.close()
+            close()
+            self.open.discard(stream)
 
 
 class Talk:
@@ -40,7 +45,7 @@
 
     def __init__(self, clients, stream):
         self.all, self.stream, self.reader = clients, stream, pg.ClientReader()
-        self.owed, self.count, self.last, self.bad = deque(), 0, False, 0      # owed: bytes, or (Held, id)
+        self.owed, self.count, self.last, self.bad, self.dropped = deque(), 0, False, 0, 0      # owed: bytes, or (Held, id)
 
     def run(self):
         try:
@@ -53,51 +58,59 @@
                     self.all.ids.discard(owed[1])
 
     def converse(self):
+        """Until the last answer was sent; raises Left, Late or OSError where the client ended it."""
         stream, reader, since = self.stream, self.reader, host.now()
         while True:
+            self.read()
             out = self.settled()
             if out:
                 stream.send(out, WRITE_LIMIT)
+                since = host.now()
                 continue        # others may have been answered meanwhile
-            if not self.owed:
-                if self.last:
-                    return
-                self.all.budget.rest(stream)
+            if not self.owed and self.last:
+                return
+            self.all.budget.mark(stream, self.state())
             try:
-                if self.owed:
+                if not self.owed:
+                    limit = START_LIMIT if not reader.started or reader.begun else IDLE_LIMIT
+                    data = stream.recv(65536, since + limit - host.now())
+                else:
                     held = self.owed[0][0]
                     left = held.deadline + OVERDUE - host.now()
-                    if self.last or len(self.owed) >= OWED:
+                    if left <= 0:
+                        # Nothing decided in time, whatever the reason: the client must hear something while it listens.
+                        self.all.log.error("answer overdue", inv=held.ident)
+                        self.all.rounds.leave(held, "terminated", True)
+                        continue
+                    if self.ahead >= AHEAD:
                         held.extra.done.wait(left)
                         continue
                     data = stream.recv_or(held.extra.done, 65536, left)
-                else:
-                    limit = START_LIMIT if not reader.started or reader.begun else IDLE_LIMIT
-                    data = stream.recv(65536, since + limit - host.now())
             except host.Late:
                 if not self.owed:
-                    if stream.waiting():
-                        continue    # it came as the time ran out, or while the loop was held up: it was taken
                     raise
-                # Nothing decided in time, whatever the reason: the client must hear something while it listens.
-                self.all.log.error("answer overdue", inv=held.ident)
-                self.all.rounds.leave(held, "terminated", True)
                 continue
             if data is None:
                 continue
             if not data:
-                return
-            if not reader.begun:
+                raise Left
+            if not reader.begun and not self.owed:
                 since = host.now()
-            try:
+            # Read on though nothing more of it is taken for now, or ever: only so the client's close is seen.
+            if self.last:
+                self.dropped += len(data)
+            else:
                 reader.feed(data)
-                self.read()
-            except pg.BadMessage as bad:
-                self.all.turned_away[bad.code.decode()] += 1
-                self.owed.append(pg.error(bad.code, bad.why, True))
-                self.last = True
-            except Left:
-                return
+
+    @property
+    def ahead(self):
+        """Bytes read that nothing was begun for."""
+        return self.dropped if self.last else len(self.reader.held)
+
+    def state(self):
+        if self.owed or self.last or self.reader.started and self.reader.begun:
+            return BUSY
+        return IDLE if self.reader.started else STARTING if self.reader.begun or self.reader.wishes else SILENT
 
     def settled(self):
         """What the answers at the head of the line come to, in bytes."""
@@ -124,21 +137,26 @@
         return pg.terminated(facts[0] if facts else True) + pg.READY
 
     def read(self):
-        """All that is whole among the bytes read; raises BadMessage for what ends the connection."""
-        while not self.last:
-            got = self.reader.take()
-            if got is None:
-                return
-            if got[0] == "plain":
-                self.owed.append(pg.PLAIN)
-            elif got[0] == "start":
-                self.all.budget.work(self.stream)
-                self.owed.append(pg.WELCOME)
-            elif got[0] == "end":
-                raise Left
-            else:
-                self.all.budget.work(self.stream)
-                self.owed.append(self.query(got[1]))
+        """All that is whole among the bytes read, as far as answers may wait."""
+        try:
+            while not self.last and len(self.owed) < OWED:
+                got = self.reader.take()
+                if got is None:
+                    return
+                self.all.budget.mark(self.stream, BUSY)
+                if got[0] == "plain":
+                    self.owed.append(pg.PLAIN)
+                elif got[0] == "start":
+                    self.owed.append(pg.WELCOME)
+                elif got[0] == "end":
+                    raise Left
+                else:
+                    self.owed.append(self.query(got[1]))
+        except pg.BadMessage as bad:
+            # Nothing behind it can be read: this answer is the last.
+            self.all.turned_away[bad.code.decode()] += 1
+            self.owed.append(pg.error(bad.code, bad.why, True))
+            self.last = True
 
     def query(self, sql):
         if not sql.strip(b" \t\r\n;"):
@@ -163,6 +181,7 @@
         if held is None:
             every.turned_away["too much is open"] += 1
             return pg.throttled(every.rounds.advice(op), "throttled: too much is open here") + pg.READY
+        held.extra.gone = self.stream.ended
         every.ids.add(ident)
         self.count += 1
         return held, ident
--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -1,10 +1,13 @@
 """The link to discovery: the list as it is at the start, then a watch that resumes by version."""
 from .. import host
-from ..interface import READY
+from ..interface import GONE, READY
 from ..wire import BadAnswer, http
 
-WATCH = 4000.0          # ms that a watch may wait; what is told late counts as told soon after its end
-SILENT = 1500.0         # ms past that, after which the agent is asked on a new connection
+# What a silent watch misses counts as told 6 s after it fell silent, which may be right after its call. By then it was given up, a
+# connection that was silent as well was given up, and another has answered: 3 + 0.5 + 1 s, which leaves 1.5 s to a slow loop.
+WATCH = 3000.0          # ms that a watch may wait
+SILENT = 500.0          # ms past that, after which the agent is asked on a new connection: it answers at once
+CONNECT = 1000.0        # ms for a connection, and for a call to be written
 LONGEST = 4 << 20       # bytes of a listing
 FIRST_WAIT, LAST_WAIT = 10.0, 500.0     # ms between failures: a watch is broken by 200
 
@@ -16,8 +19,8 @@
         self.version, self.entries, self.moved = 0, {}, host.Once()     # host -> (entry, dial, born)
 
     def address(self, name):
-        """Where a node listens; one that a list has just left out is sent nothing."""
-        if name not in self.entries:
+        """Where a node listens; one that a list has just left out or called gone is sent nothing."""
+        if name not in self.entries or self.entries[name][0][5] == GONE:
             raise host.Refused("not listed")
         return self.entries[name][1]
 
@@ -56,7 +59,7 @@
             stream = None
             self.moved = moved = host.Once()
             try:
-                stream = host.connect(self.at, 1000.0)
+                stream = host.connect(self.at, CONNECT)
                 more = True
                 while more:
                     more = self.ask(stream, moved, whole)
@@ -79,7 +82,7 @@
         if not whole:
             path += b"?since=%d&timeout_ms=%d" % (self.version, WATCH)
         reader = http.AnswerReader(LONGEST)
-        stream.send(http.request(path, self.at.encode(), [], b"", b"GET"), 1000.0)
+        stream.send(http.request(path, self.at.encode(), [], b"", b"GET"), CONNECT)
         end = host.now() + WATCH + SILENT
         while not reader.whole:
             data = stream.recv_or(moved, 65536, end - host.now())
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -8,6 +8,7 @@
 from ..wire import BadAnswer, pg
 from . import config
 from .api import ReleaseApi
+from .budget import IDLE, SILENT
 from .clients import Clients
 from .discovery import Discovery
 
@@ -116,14 +117,13 @@
         self.stopping = True
         self.log.info("stopping", held=len(self.rounds.held))
         host.sleep(LEAVING)
-        # What the machine has accepted meanwhile was taken: it is met before the listener goes.
-        host.sleep(10)
+        # What the machine has accepted meanwhile was taken, and a loop that was held up has not met it yet.
+        for stream in self.listener.backlog():
+            host.spawn(self.clients.handle, stream)
         self.listener.close()
+        host.sleep(0)       # those just spawned are among the open ones
         while self.clients.open:
-            for some in (self.budget.resting, self.budget.silent):
-                for stream in list(some):
-                    if not stream.waiting():
-                        stream.close()
+            self.budget.let_go((SILENT, IDLE))
             host.sleep(5)
         self.log.info("stopped")
         self.done.set()
--- a/gannetfront/proxy/clients.py
+++ b/gannetfront/proxy/clients.py
@@ -4,7 +4,9 @@
 from ..tenants.tenancy import LATER, UNKNOWN
 from ..wire import http, invocation
 
-PIPELINED = 16      # requests read ahead on one connection; its reading then pauses
+PIPELINED = 16      # requests read ahead on one connection
+AHEAD = 65536       # bytes kept of what comes behind those, or behind what is bad, so that the client's close is still seen
+LINGERING, LINGER_LIMIT, LINGER_SIZE = 64, 2000.0, 1 << 20      # connections, ms and bytes read behind a last answer
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LATER_IN = 1000.0       # ms after which one that waits for a younger view may come back
 WRITE_LIMIT = 5000.0    # a client that does not read its answer for so long is cut off
@@ -17,25 +19,34 @@
         self.rounds, self.operations, self.admit, self.limits = rounds, operations, admit, limits
         self.margins, self.read_limit, self.idle_limit, self.inside = margins, read_limit, idle_limit, inside
         self.log, self.stopping, self.open, self.busy = log, False, set(), set()
+        self.lingering = host.LingeringCloses(LINGERING, LINGER_LIMIT, LINGER_SIZE)
 
     def handle(self, stream):
         self.rounds.watch.connected()
         self.open.add(stream)
+        close = stream.close
         try:
-            self.converse(stream)
+            if self.converse(stream):
+                close = lambda: self.lingering.close(stream)
         except (OSError, host.Late):
             pass    # a client that broke off or does not read: nobody is there to be told
         finally:
+            close()
             self.open.discard(stream)
             self.busy.discard(stream)
-            stream.close()
 
     def converse(self, stream):
+        """True where it was ended here, with a last answer that the client may not have read while it still writes."""
         reader, bad = http.RequestReader(*self.limits), None
         came = host.now()
         while True:
             while not reader.ready and not bad:
-                self.busy.discard(stream)
+                if reader.ahead:
+                    data, reader.ahead = reader.ahead, b""
+                    bad = self.feed(reader, data)
+                    continue
+                if not reader.begun:
+                    self.busy.discard(stream)
                 try:
                     # From its first byte on a request has one time in all: a byte a second keeps nothing open.
                     left = came + self.read_limit - host.now() if reader.begun else self.idle_limit
@@ -45,9 +56,9 @@
                 except host.Late:
                     if reader.begun:
                         stream.send(invocation.rejected(http.BadRequest(408, "the request was not whole in time")), 100)
-                    return
+                    return reader.begun
                 if not data:
-                    return
+                    return False
                 if not reader.begun:
                     came = host.now()
                 bad = self.feed(reader, data)
@@ -60,13 +71,13 @@
                 answer, keep, gone, worse = self.answer(stream, reader, request, came)
                 bad = bad or worse
                 if gone:
-                    return
+                    return False
                 stream.send(answer, WRITE_LIMIT)
                 if not keep:
-                    return
+                    return True
             if bad:
                 stream.send(invocation.rejected(bad), WRITE_LIMIT)
-                return
+                return True
 
     @staticmethod
     def feed(reader, data):
@@ -100,6 +111,7 @@
         held = self.rounds.take(op, tenant, key, max(0.0, left), url, headers, body)
         if held is None:
             return invocation.throttled(self.rounds.wait, keep, b"throttled: %s\n" % self.rounds.why), keep, False, None
+        held.extra.gone = stream.ended
         gone, worse = self.wait(stream, reader, held, margin)
         if gone:
             return b"", False, True, None
@@ -116,7 +128,8 @@
         while True:
             left = held.deadline + margin / 2 - host.now()
             try:
-                if bad or len(reader.ready) >= PIPELINED:
+                full = bad or len(reader.ready) >= PIPELINED or reader.ahead
+                if full and len(reader.ahead) >= AHEAD:
                     held.extra.done.wait(left)
                     return False, bad
                 data = stream.recv_or(held.extra.done, 65536, left)
@@ -132,4 +145,7 @@
             if not data:
                 self.rounds.leave(held)
                 return True, bad
-            bad = self.feed(reader, data)
+            if full:
+                reader.ahead += data
+            else:
+                bad = self.feed(reader, data)
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -212,13 +212,17 @@
             return
         self.clients.stopping = True
         self.log.info("stopping", held=len(self.rounds.held))
+        # What the machine has accepted was taken: it gets its answer too.
+        for stream in self.listener.backlog():
+            host.spawn(self.clients.handle, stream)
         self.listener.close()
         if self.duties:
             self.duties.stop()
         if self.members:
             self.members.stop()
         end = host.now() + self.stop_limit
-        while self.clients.busy and host.now() < end:
+        host.sleep(0)       # those just spawned are among the open ones
+        while host.now() < end and any(s in self.clients.busy or s.waiting() for s in self.clients.open):
             host.sleep(10)
         for held in list(self.rounds.held.values()):
             self.rounds.carrier.end(held, "terminated", False)
--- a/gannetfront/wire/http.py
+++ b/gannetfront/wire/http.py
@@ -24,12 +24,13 @@
 
 class RequestReader:
     """`feed(bytes)`; whole requests wait in `ready` as (method, path, headers, body, keep). `begun` is True while a
-    request is part read, `wants_continue` once where its client waits for '100 Continue'."""
+    request is part read, `wants_continue` once where its client waits for '100 Continue'. `ahead` is a place for bytes that are
+    not to be read yet."""
 
     def __init__(self, header_limit, body_limit):
         self.header_limit, self.body_limit = header_limit, body_limit
         self.ready, self.begun, self.wants_continue, self.in_head, self.size = [], False, False, True, 0
-        self.trouble = None
+        self.trouble, self.ahead = None, b""
         self.parser = httptools.HttpRequestParser(self)
 
     def feed(self, data):
