--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 
 import pytest
 
@@ -456,3 +457,38 @@
     assert one.read(half)[1] == "throttled"
     host.join([stop], 5000)
     assert one.proxy.done.ready()
+
+
+# ---- the build ----
+
+PYTHON = """#!/bin/sh
+echo "$@" >> calls
+if [ "$2" = venv ]; then
+    eval "place=\\${$#}"
+    mkdir -p $place/bin
+    cp "$0" $place/bin/python
+    printf '#!/bin/sh\\necho pip >> calls\\ntest ! -e cut\\n' > $place/bin/pip
+    chmod +x $place/bin/pip
+fi
+"""
+
+
+def test_the_environment_is_made_anew_when_it_must(tmp_path):
+    """Against one that is kept by a mark alone: other requirements, or an installation cut off halfway, and it never starts."""
+    with open(os.path.join(os.path.dirname(__file__), "..", "deploy", "balancer.toml"), "rb") as f:
+        build = tomllib.load(f)["build"]
+    (tmp_path / "bin").mkdir()
+    (tmp_path / "bin" / "python3").write_text(PYTHON)
+    (tmp_path / "bin" / "python3").chmod(0o755)
+
+    def built():
+        (tmp_path / "calls").write_text("")
+        code = subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, env={"PATH": f"{tmp_path}/bin:/usr/bin:/bin"}).returncode
+        return code, (tmp_path / "calls").read_text().split("\n").count("pip")
+    (tmp_path / "requirements-run.txt").write_text("one==1\n")
+    (tmp_path / "cut").touch()
+    assert built() == (1, 1)
+    (tmp_path / "cut").unlink()
+    assert [built(), built()] == [(0, 1), (0, 0)]
+    (tmp_path / "requirements-run.txt").write_text("one==2\n")
+    assert [built(), built()] == [(0, 1), (0, 0)]
