A draining proxy closes each client connection with the answer after which nothing is owed

Cause: after SIGTERM Edge.stop looked for idle connections every 5 ms, and `Talk.converse` went on reading behind each answer; a client that asks again as soon as it is answered is never found idle, and its chain of requests ran on until SIGKILL took the last. Ruled out: the listener (new connections end 0.2 to 0.4 s after SIGTERM; these came 3 s later on connections that stood), the answers' own time.

Change: once the time for new clients is over, a connection ends right behind its answer unless its next request is there already; the idle ones are let go once. Without it the new test goes on for 99 requests.

--- a/gannetfront/edge/clients.py
+++ b/gannetfront/edge/clients.py
@@ -18,18 +18,19 @@
         """`operations` as wire/pg.statement takes them; `limits` are time limits in ms by operation."""
         self.rounds, self.operations, self.limits, self.budget, self.log = rounds, operations, limits, budget, log
         self.open, self.ids, self.turned_away = set(), set(), Counter()
+        self.draining = False       # connections end with the answer after which nothing is owed on them
         self.lingering = host.LingeringCloses(LINGERING, LINGER_LIMIT, LINGER_SIZE)
 
     def handle(self, stream):
         self.open.add(stream)
         close = stream.close
         try:
-            if self.budget.enter(stream):
-                Talk(self, stream).run()
-            else:
+            if not self.budget.enter(stream):
                 self.turned_away["no descriptor"] += 1
                 soonest = min(map(self.rounds.advice, range(len(self.limits))))     # what it wants is not known
                 stream.send(pg.throttled(soonest, "too many connections", True), 0.0)
+            elif not Talk(self, stream).run():
+                return
             # It ended here, with a last answer that the client may not have read while it still writes.
             close = lambda: self.lingering.close(stream)
         except (OSError, host.Late, Left):
@@ -49,7 +50,7 @@
 
     def run(self):
         try:
-            self.converse()
+            return self.converse()
         finally:
             # Whatever ended it, nobody waits here any more: dispatches are called off, ids may come again.
             for owed in self.owed:
@@ -58,7 +59,8 @@
                     self.all.ids.discard(owed[1])
 
     def converse(self):
-        """Until the last answer was sent; raises Left, Late or OSError where the client ended it."""
+        """True once a last answer was sent behind which more may have been written; False where nothing is owed and the proxy
+        drains; raises Left, Late or OSError where the client ended it."""
         stream, reader, since = self.stream, self.reader, host.now()
         while True:
             self.read()
@@ -68,8 +70,12 @@
                 since = host.now()
                 continue        # others may have been answered meanwhile
             if not self.owed and self.last:
-                return
-            self.all.budget.mark(stream, self.state())
+                return True
+            state = self.state()
+            # Here and not a look later: a client that asks again as soon as it is answered would never be found idle.
+            if self.all.draining and state in (SILENT, IDLE) and not stream.waiting():
+                return False
+            self.all.budget.mark(stream, state)
             try:
                 if not self.owed:
                     limit = START_LIMIT if not reader.started or reader.begun else IDLE_LIMIT
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -121,9 +121,10 @@
         for stream in self.listener.backlog():
             host.spawn(self.clients.handle, stream)
         self.listener.close()
+        self.clients.draining = True
+        self.budget.let_go((SILENT, IDLE))
         host.sleep(0)       # those just spawned are among the open ones
         while self.clients.open:
-            self.budget.let_go((SILENT, IDLE))
             host.sleep(5)
         self.log.info("stopped")
         self.done.set()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -229,6 +229,19 @@
     assert [verdict(got[0]), verdict(got[-1])] == [b"value"] * 2
 
 
+def test_a_client_that_asks_again_at_once_does_not_keep_a_stop_from_its_end(rig, monkeypatch):
+    """Each answer was followed by the next request before anybody found the connection idle, until the kill lost one."""
+    monkeypatch.setattr("gannetfront.edge.edge.LEAVING", 0.0)
+    one = rig(PgNode(GOOD))
+    client, got = one.client(), [b"value"]
+    stop = host.spawn(one.edge.stop)
+    while got[-1] == b"value" and len(got) < 99:
+        got.append(client.ask(select(f"{len(got):02x}")))
+    assert got[-1] is None and len(got) < 20
+    host.join([stop], 3000)
+    assert one.edge.done.ready()
+
+
 def test_a_second_stop_and_a_client_that_does_not_read(rig, monkeypatch):
     monkeypatch.setattr("gannetfront.edge.edge.LEAVING", 0.0)
     monkeypatch.setattr("gannetfront.edge.clients.WRITE_LIMIT", 300.0)
