--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -301,6 +301,23 @@
     assert verdict(client.until(b"Z")) in ("53300", b"new") and not old.seen and client.ask(select("02")) == b"new"
 
 
+def test_a_name_that_becomes_another_process_before_its_dispatch_has_begun(rig):
+    """The list is taken between the round that decided and the greenlet that dials."""
+    old, new = PgNode(row(b"old")), PgNode(row(b"new"))
+    one = rig(old, new)
+    one.platform.change(one.host(1, health="draining"))
+    one.until(lambda: one.edge.discovery.version == 2)
+    launch, seen = one.edge.rounds.launch, []
+
+    def launched(*decided):
+        launch(*decided)
+        entry, _, _ = one.edge.discovery.entries["s-0"]
+        one.edge.discovery.take(3, False, [(entry[:7], new.at, 1000.0 * host.wall())])
+    one.edge.rounds.launch, one.edge.rounds.observe = launched, lambda addr, op, status, took: seen.append(status)
+    one.client().ask(insert("01", c="debit", more=""))
+    assert seen[0] == i.MOOT and not old.seen
+
+
 def test_a_node_called_gone_is_sent_nothing(rig):
     one = rig(PgNode())
     one.edge.discovery.take(2, False, [(entry[:5] + (i.GONE, entry[6]), dial, born)
@@ -334,7 +351,7 @@
 @pytest.mark.parametrize("how", ["silent", "trickles"])
 def test_a_watch_that_falls_silent_is_opened_anew(rig, short_watch, how):
     one = rig(PgNode(), PgNode(row(b"new")))
-    agent, calls = host.Listener("127.0.0.1:0"), []
+    agent, calls, said = host.Listener("127.0.0.1:0"), [], []
 
     def answer(stream):
         calls.append(stream)
@@ -343,8 +360,9 @@
         if nth == 3:
             listing = {"seq": 9, "whole": True, "hosts": [one.host(1)]}
             stream.send(http.answer(200, [], json.dumps(listing).encode()), 1000)
-        for byte in b"HTTP/1.1 200 OK\r\ncontent-length: 999\r\n\r\n" if how == "trickles" and nth == 2 else b"":
-            stream.send(bytes([byte]), 1000)
+        while how == "trickles" and nth == 2 and stream.open:
+            stream.send(b"HTTP/1.1 200 OK\r\nx: " if not said else b"y", 1000)
+            said.append(nth)
             host.sleep(10)
         stream.recv(1, 5000)
     host.spawn(host.serve, agent, answer, Log())
