A refused webhook and a proxy at a controller that stands by hear why, whatever they still write

Cause: release/serve.py closed a connection behind its refusal with bytes unread, a reset as on the other fronts. Change: the same LingeringCloses (64 at a time, 1 s, 1 MiB).

--- a/gannetfront/release/serve.py
+++ b/gannetfront/release/serve.py
@@ -45,6 +45,7 @@
         self.box, self.done, self.acting, self.closing = host.Mailbox(65536), host.Once(), False, False
         # A round waits for the store's disk; what else changes the stages must not come into its middle.
         self.turnstile = host.Turnstile()
+        self.lingering = host.LingeringCloses(64, 1000.0, 1 << 20)      # behind a refusal that a peer may not have read yet
         self.clear()
 
     def clear(self):
@@ -194,7 +195,7 @@
         except (OSError, host.Timeout):
             pass
         finally:
-            stream.close()
+            self.lingering.close(stream)
 
     def delivered(self, doors, tolerance, method, url, headers, body):
         """(status, JSON text). A repeat gets the answer of the first, whatever has happened since."""
@@ -438,7 +439,7 @@
                 stream.send(frames.pack(refusal=c.Refusal(why="this controller stands by")), 1000)
             except (OSError, host.Timeout):
                 pass
-            return stream.close()
+            return self.lingering.close(stream)
         link, reader = Link(stream, self.most_queue), frames.FrameReader()
         writer = host.spawn(self.write, link)
         try:
