'On' at the last stage waits until the newest server of the build has been warm for SETTLE

Cause: the load at that stage is reached only when its servers are warm (4 s here), 'on' rests on SETTLE from the newest start alone.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -23,7 +23,7 @@
 BACK_MARGIN, ON_MARGIN, SLOW_BACK, SLOW_ON = 0.03, 0.05, 0.25, 0.2
 YOUTH = 5000.0              # a younger server's times are not its build's
 LOADED = 0.25               # weight of the earlier machines beside a build that may have all
-SETTLE = 3000.0             # after the newest start, before 'on'
+SETTLE = 3000.0             # after the newest start, before 'on'; at the last stage after that one is warm
 MEMORY = 6000.0             # a server's own samples older than this say nothing of it now
 COUNT = 4000.0              # over which traffic and answers in time are counted
 SWEEP = 100.0
@@ -632,7 +632,7 @@
         if self.proof_due or not self.proof or self.now > self.proof[0] + 1000:
             self.proof, self.proof_due = (self.now, *self.evidence()), False
         _, pooled, wrong, slow, hard, failed = self.proof
-        verdict, newest = None, self.started.get(self.ver, self.now)
+        verdict, newest = None, self.started.get(self.ver, self.now) + self.loaded * self.warm_within
         step = min(self.stage, len(self.spare) - 1)     # against news of more stages than the settings had
         proven = lambda rows, margin: any(row[2] > margin for row in rows)
         # After a release the last answers of draining machines are no fair sample to be late or slow by.
