--- a/gannetfront/edge/budget.py
+++ b/gannetfront/edge/budget.py
@@ -6,9 +6,9 @@
 from itertools import islice
 
 SPARE = 48          # program, links, peers, and room for the moment between a close and the next open
-MAX_PIPELINED = 8       # open invocations on one connection; more are throttled, as nothing of them ran
-MAX_PENDING = 64           # answers waiting behind one that is not there yet; reading then pauses
-READ_AHEAD = 136 << 10       # bytes kept of what is written behind those, so that the client's close is still seen
+MAX_PIPELINED = 8   # open invocations on one connection; more are throttled, as nothing of them ran
+MAX_PENDING = 64    # answers waiting behind one that is not there yet; nothing more is begun then
+READ_AHEAD = 136 << 10      # bytes kept of what is written behind those, so that the client's close is still seen
 START_TIMEOUT = 2000.0    # ms a client has to say who it is, or to finish what it has begun to write
 IDLE_TIMEOUT = 20000.0    # ms a client may hold a connection between requests
 WRITE_TIMEOUT = 3000.0    # ms a client may leave its answer unread
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -13,7 +13,7 @@
 from .discovery import Discovery
 
 USER, DATABASE = b"client", b"core"
-ACCEPT_GRACE = 600.0         # ms after SIGTERM in which clients still come and use what they have
+ACCEPT_GRACE = 600.0    # ms after SIGTERM in which clients still come and use what they have
 ANSWER_LIMIT = 1 << 18  # bytes of a node's answer
 REPORTED = 5000.0
 
