--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -186,7 +186,7 @@
 REMOVED = {     # what is taken out -> program, text, line of the report that tells of it
     "none": ("proxy", "", None),
     "intents": ("proxy", "from gannetfront.proxy.rounds import Rounds as R\n"
-                "R.recorded = lambda self, held, seq, flight: flight.fly(self.pools.of(flight.addr))", "trails"),
+                "R.recorded = lambda self, held, seq, flight, pool: flight.fly(pool)", "trails"),
     "repeats": ("release", "from gannetfront.release.store import Store as S\nS.answered = lambda *x: None", "webhooks"),
 }
 
