--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 from gannetfront.edge import budget
 from gannetfront.proxy.flights import Flight
 from gannetfront.proxy.pools import Pool
-from gannetfront.wire import http, pg
+from gannetfront.wire import BadAnswer, http, pg
 from edge_rig import NEWS, SETTINGS, EdgeRig, PgNode, insert, row, select, verdict
 from rig import FLEET, Log, Node, Rig, ok
 from test_edge import greeted
@@ -269,6 +269,20 @@
     assert one.edge.done.ready() and not one.edge.clients.open and len(one.log.said("stopping")) == 1
 
 
+@pytest.mark.parametrize("more", [b"", pg.message(b"X", b"") + b"\xff" * 99], ids=["a close", "bytes after Terminate"])
+def test_a_connection_that_ends_in_any_state_leaves_nothing(rig, more):
+    one = rig(PgNode([5, GOOD]))
+    whole = pg.startup(b"client", b"core") + query(select("0a")) + query(b"")
+    held = len(os.listdir("/proc/self/fd"))
+    for cut in range(0, len(whole) + 1, 3):
+        plainly(one.at, whole[:cut] + more).close()
+    one.until(lambda: not one.edge.clients.open and not one.edge.rounds.held and not one.edge.rounds.flights)
+    assert not one.edge.clients.ids and one.edge.budget.clients == 0 and not any(one.edge.budget.states)
+    one.edge.pools.close_idle("s-0")
+    assert len(os.listdir("/proc/self/fd")) <= held + 2 * len(one.nodes[0].streams)     # the stand-in's ends
+    assert one.client().ask(select("0b")) == b"value" and not one.log.said("decisions failed")
+
+
 # ---- a dispatch, between decision and first byte ----
 
 def test_a_node_is_told_the_time_that_is_left_when_its_connection_is_up(rig):
@@ -422,6 +436,15 @@
     assert client.ask(insert("03", c="debit", more="")) == b"value" and len(one.edge.discovery.entries) == 1
 
 
+def test_a_listing_cut_anywhere_is_dropped_whole(rig):
+    one = rig(PgNode())
+    body = one.platform.listing()
+    for cut in range(len(body)):
+        with pytest.raises(BadAnswer):
+            one.edge.discovery.listing.read(body[:cut])
+    assert one.edge.discovery.listing.read(body)[1]
+
+
 # ---- configurations and signals ----
 
 @pytest.mark.parametrize("text, word", [
