A leader says nothing of a site that it does not know, and no order skips a step of the ramp

Symptom: after the loss of a site its cold servers got their whole load at once from several proxies; callers saw time-outs there. Cause: a zone began as HERE with its full weight, so a proxy that had just begun and held the duty site-return ordered 'let in fully' for sites that it had not looked at, and followers took the order's step at once. The same in two more places: followers that still saw the zone away while the leader went up its ramp, and zones whose nodes were others (renewed set the full weight). Change: UNKNOWN is a state, until something answers there, in this life of the process and of the nodes; a leader has no word of it. An order is a bound and a pace for the steps of whoever follows; a proxy that begins goes down to what is ordered. Stand.renewed is gone: nothing was left for it to do. Tests: one of test_stand asked for the jump itself ('told by its holder: at once where that is'); it is replaced by every step in order, the bound, the pace and a step back at once. The rows of what is with a zone begin from zones that were heard once, and stand a second time from zones never heard of: never whole. New nodes are not known yet rather than here, and here with their first answer.

--- a/gannetfront/duties/returning.py
+++ b/gannetfront/duties/returning.py
@@ -2,7 +2,7 @@
 
 A step is an order about all sites at once, each in three bits, below a number that rises: a proxy that missed some has all of it with
 the next. The holder says how far it has gone itself, quicker than a proxy alone may (sites/stand.py), and nothing of a site that it does
-not see. Orders of operators (hold, return) are told with each step, and taken up by whoever follows from its own place. Nobody holds
+not see or does not know yet. Whoever follows goes there by steps of its own. Orders of operators (hold, return) are told with each step, and taken up by whoever follows from its own place. Nobody holds
 it: each proxy goes up its own slower ramp.
 """
 from .. import host
@@ -59,7 +59,7 @@
                 self.sites.stand.ordered(host.now(), {name: order})
             orders = self.sites.orders()
             if orders != told:
-                self.log.info("site return", orders=orders)
+                self.log.info("site return", orders=orders, states=self.sites.zones.for_dispatches())
             number, told = number + 1, orders
             step = packed(number, [orders[name] for name in self.names])
             steps = self.each(held, step)
--- a/gannetfront/sites/recognition.py
+++ b/gannetfront/sites/recognition.py
@@ -5,6 +5,10 @@
 is a cut; silent with all of them gone is a loss; and where nobody at all is heard here, it is this proxy that is cut off, and
 nothing may be said of the others. A zone that goes again and again is told as such, and for longer each time. One that is away stays
 so until something answers there: that nothing was sent to it is no sign of its return.
+
+A zone begins as not known yet, and is that again once its nodes are others, until something answers there. To send there as usual, as
+somebody has to be the first, is another matter than to say that it is whole: a leader that said so from its start, knowing nothing, had
+all proxies give a lost site its whole load at its return (docs/incidents/newborn-leader.md).
 """
 from collections import deque
 
@@ -14,14 +18,16 @@
 USUAL = 200                     # answer times that are remembered for the usual
 AGAIN, FIRST_HOLD, LONGEST_HOLD = 60000.0, 5000.0, 120000.0     # ms: gone again within; told as coming and going for
 
-HERE, SLOW, HALF, NODES, CUT, LOST, ONE_WAY, ALONE, FLAPS = (
-    "here", "slow", "in part", "its nodes are silent", "cut off from us", "lost", "does not hear us", "we are cut off", "comes and goes")
+UNKNOWN, HERE, SLOW, HALF, NODES, CUT, LOST, ONE_WAY, ALONE, FLAPS = (
+    "not known yet", "here", "slow", "in part", "its nodes are silent", "cut off from us", "lost", "does not hear us", "we are cut off", "comes and goes")
 AWAY = NODES, CUT, LOST
+PRESENT = HERE, HALF, SLOW
 
 
 class Zone:
     def __init__(self):
-        self.state, self.evidence, self.usual = HERE, "", deque(maxlen=USUAL)
+        self.state, self.evidence, self.usual = UNKNOWN, "", deque(maxlen=USUAL)
+        self.known = False      # something answered there, in this life of the process and of the zone's nodes
         self.gone_at, self.hold, self.held_until = None, FIRST_HOLD, 0.0
         self.silent = set()     # nodes that answered nothing while it was taken for away
         self.reached = True     # somebody answered there when last asked, whatever else stands
@@ -65,7 +71,13 @@
     def for_dispatches(self):
         """{zone: state} as far as sending there goes: where nobody is heard nothing is said of the others, but what answers nothing is
         sent nothing."""
-        return {name: (HERE if zone.reached else NODES) if zone.state in (ALONE, ONE_WAY) else zone.state for name, zone in self.zones.items()}
+        states = {}
+        for name, zone in self.zones.items():
+            state = zone.state
+            if state in (ALONE, ONE_WAY):
+                state = HERE if zone.reached else NODES
+            states[name] = UNKNOWN if state in PRESENT and not zone.known else state
+        return states
 
     def renewed(self, name, ready):
         """True where a zone was away and none of the nodes that were silent is listed any more: nothing is known of those that are,
@@ -74,13 +86,14 @@
         if zone.state not in AWAY or not ready or not zone.silent or zone.silent & set(ready):
             return False
         self.outcomes = deque((o for o in self.outcomes if o[1] != name), maxlen=MOST)
-        zone.state, zone.evidence, zone.silent, zone.reached = HERE, "its nodes are others now", set(), True
+        zone.state, zone.evidence, zone.silent, zone.reached, zone.known = UNKNOWN, "its nodes are others now", set(), True, False
         return True
 
     def state_of(self, name, zone, nodes, heard, standing, listed):
         alive, here, all_members = heard
         answered, silent = sum(r[0] for r in nodes.values()), sum(r[1] for r in nodes.values())
         mute = [n for n, r in nodes.items() if r[1] and not r[0]]
+        zone.known = zone.known or answered > 0
         zone.reached = bool(answered) or zone.reached and silent < LEAST
         zone.mute = len(mute) / len(nodes) if nodes and silent >= LEAST else 0.0
         told = f"{answered} answered, {silent} not, at {len(nodes)} nodes; {here} of {all_members} proxies heard, {alive} said to be there; " \
@@ -104,6 +117,8 @@
             return NODES, told
         if mute and len(mute) >= PART * len(nodes) and silent >= LEAST:
             return HALF, told
+        if zone.state == UNKNOWN and not zone.known:
+            return UNKNOWN, told
         times = sorted(t for r in nodes.values() for t in r[2])
         usual = sorted(zone.usual)
         if len(times) >= LEAST and len(usual) >= USUAL // 4 and times[len(times) // 2] > SLOWER * usual[len(usual) // 2]:
--- a/gannetfront/sites/sight.py
+++ b/gannetfront/sites/sight.py
@@ -3,7 +3,7 @@
 Entries are those of the list (interface.py's `listed`): (address, zone, build, kind, cell, state, heft, start).
 """
 from ..interface import CANCELLED, DRAINING, FULL, HOLD, MOOT, NO_VOTE, ON, READY, RESET, TIMEOUT, TRIAL, UNCONNECTED
-from .recognition import AWAY, HERE, Zones
+from .recognition import AWAY, Zones
 
 LOOK = 250.0            # ms between looks
 OVERDUE = 250.0         # ms without an answer, after which nodes of that zone are asked whether they are there
@@ -53,9 +53,8 @@
                 hefts[zone] += entry[6] * self.warm(now, entry)
         counts = {name: (len(ready[name]), every[name]) for name in self.names}
         renewed = [zone for zone in self.names if self.zones.renewed(zone, ready[zone])]
-        told = [(zone, HERE, self.zones.zones[zone].evidence) for zone in renewed] + self.zones.look(now, heard, standing, counts)
-        for zone in renewed if self.stand else ():
-            self.stand.renewed(now, zone)
+        told = [(zone, self.zones.zones[zone].state, self.zones.zones[zone].evidence) for zone in renewed]
+        told += self.zones.look(now, heard, standing, counts)
         if not self.stand:
             return told, False, set()
         hefts = {zone: heft * (1 - self.zones.zones[zone].mute) for zone, heft in hefts.items()}
--- a/gannetfront/sites/stand.py
+++ b/gannetfront/sites/stand.py
@@ -7,12 +7,14 @@
 it goes by what comes back: more where answers of the survivors are late, less, slowly, where they are not.
 
 A zone that is back, by probes or answers, is let in by steps. Each proxy goes up its own slow ramp; whoever holds the duty `site-return`
-goes quicker, as it settles for all that the zone is back, and takes a step back for all where it does not stand it.
+goes quicker, as it settles for all that the zone is back, and takes a step back for all where it does not stand it. Its order is how far
+the others may go, at its pace: they go there by their own steps, none skipped, as a leader that is ahead, or has just begun, says nothing
+of what this proxy has sent there lately. Only an operator's order lets a zone in at once.
 """
 from collections import Counter, deque
 
 from ..interface import CANCELLED, MOOT, ON, RESET, TIMEOUT, UNCONNECTED
-from .recognition import AWAY, FLAPS, HALF, HERE, SLOW
+from .recognition import AWAY, FLAPS, PRESENT
 
 STEPS = 0.0, 0.1, 0.3, 0.6, 1.0     # of a zone's weight while it is let in again
 FULL = len(STEPS) - 1
@@ -28,8 +30,8 @@
 PACES, IDLE, QUICKER = 50, 1.2, 3   # answers over which the usual pace is taken; up to that many times it the others are idle; then so much quicker
 MOST_OFF = 1.1                      # the plan's figures are scaled up by this at most: a busy proxy is not the fleet
 HEEDED = 4000.0                     # ms for which the holder's word counts; then each goes up its own ramp from there
+JOINING = 4000.0                    # ms from its start for which a proxy goes down to what is ordered: it has not seen what was before
 NO_WORD, FORCED, HELD_DOWN = 5, 6, 7        # beside the steps: orders of the holder, of operators
-SAYS = HERE, HALF, SLOW             # states of a zone of which its holder has a say
 
 
 class Zone:
@@ -56,7 +58,7 @@
         self.asking, self.slots, self.seen, self.waited = Counter(), deque(maxlen=SLOTS), [0, 0], 0
         self.paces, self.usual_pace = 0.0, 0.1
         self.need, self.correction, self.scale, self.shares, self.missing = 0.0, 0.0, None, {}, False
-        self.grown = now
+        self.grown = self.born = now
 
     # ---- what is seen ----
 
@@ -85,15 +87,10 @@
                 self.zones[name].order, self.zones[name].told = order, now
 
     def orders(self, states):
-        """What its holder tells all: how far it has itself let each zone in; nothing of one that is away as it sees it."""
-        return {name: zone.order if zone.order in (FORCED, HELD_DOWN) else NO_WORD if states.get(name) not in SAYS else zone.level
+        """What its holder tells all: how far it has itself let each zone in; nothing of one that is away as it sees it, or not known."""
+        return {name: zone.order if zone.order in (FORCED, HELD_DOWN) else zone.level if states.get(name) in PRESENT else NO_WORD
                 for name, zone in self.zones.items()}
 
-    def renewed(self, now, zone):
-        """Its nodes are others: what is known was of those before. Cold ones have a ledger of their own."""
-        if self.zones[zone].order != HELD_DOWN:
-            self.to(now, self.zones[zone], FULL)
-
     # ---- what follows from it ----
 
     def look(self, now, states, hefts, leading=False):
@@ -112,26 +109,35 @@
 
     def step(self, now, zone, state, leading):
         heeded = now - zone.told < HEEDED
-        settle, each = (HELD_SETTLE, HELD_EACH) if leading else (SETTLE, EACH)
+        forced = heeded and zone.order == FORCED
         if state in AWAY and zone.order == FORCED:
             zone.order = NO_WORD        # it went again: the operator's word was for that time
         if zone.order == HELD_DOWN:
             zone.level, zone.back = 0, None         # until an operator says otherwise: not by a holder's death
-        elif state in AWAY or state == FLAPS and not (heeded and zone.order == FORCED):
+        elif state in AWAY or state == FLAPS and not forced:
             zone.level, zone.back = 0, None
-        elif zone.level < FULL:
-            zone.back = now if zone.back is None else zone.back
-            seen, late = zone.tried
-            if heeded and zone.order == FORCED:
+        elif forced:
+            if zone.level < FULL:
                 self.to(now, zone, FULL)
-            elif zone.level > 1 and seen >= LEAST and late > seen / 2:
-                self.to(now, zone, zone.level - 1)
-                zone.back = now
-            elif heeded and not leading and zone.order <= FULL:
-                if zone.order != zone.level:
-                    self.to(now, zone, zone.order)
-            elif now >= zone.back + settle and now >= zone.stepped + each:
-                self.to(now, zone, zone.level + 1)
+        else:
+            self.ramp(now, zone, zone.order if heeded and not leading and zone.order <= FULL else None, leading)
+
+    def ramp(self, now, zone, ordered, leading):
+        """One step up, one back or none; `ordered` is the step of whoever leads the return, or None."""
+        if zone.level == FULL:
+            if ordered is not None and ordered < FULL and now < self.born + JOINING:
+                self.to(now, zone, ordered)
+            return
+        zone.back = now if zone.back is None else zone.back
+        seen, late = zone.tried
+        settle, each = (HELD_SETTLE, HELD_EACH) if leading or ordered is not None else (SETTLE, EACH)
+        if zone.level > 1 and seen >= LEAST and late > seen / 2:
+            self.to(now, zone, zone.level - 1)
+            zone.back = now
+        elif ordered is not None and ordered < zone.level:
+            self.to(now, zone, ordered)
+        elif ordered != zone.level and now >= zone.back + settle and now >= zone.stepped + each:
+            self.to(now, zone, zone.level + 1)
 
     @staticmethod
     def to(now, zone, level):
--- a/tests/test_site_return.py
+++ b/tests/test_site_return.py
@@ -7,7 +7,7 @@
 every site, the lost one too: a zone of which nothing was known counted as whole. From the log of one play (s): 41.64 proxy 2 `serving`;
 41.85 `duty held ... taken as it was free`; 41.86 `site return orders={'a': 4, 'b': 4, 'c': 4}`; 44.43 first `zone=a state=its nodes are
 silent` there; 44.56 proxy 3 `site weights ... 'a': 1.0 before={'a': 0}`, 44.58 proxy 1 the same. Followers took the order's step at once,
-however far they were themselves, so any order that was ahead of them skipped their ramp.
+however far they were themselves, so any order that was ahead of them skipped their ramp. Mended: docs/incidents/newborn-leader.md.
 """
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -115,7 +115,7 @@
 
 
 ORDERS = st.none() | st.fixed_dictionaries({zone: st.sampled_from([*range(len(s.STEPS)), s.NO_WORD, s.HELD_DOWN]) for zone in "abc"})
-STATES = st.fixed_dictionaries({zone: st.sampled_from([r.HERE, r.SLOW, r.HALF, r.NODES, r.LOST, r.FLAPS]) for zone in "abc"})
+STATES = st.fixed_dictionaries({zone: st.sampled_from([r.UNKNOWN, r.HERE, r.SLOW, r.HALF, r.NODES, r.LOST, r.FLAPS]) for zone in "abc"})
 
 
 @settings(max_examples=150, deadline=None, derandomize=True)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -108,6 +108,15 @@
     "nothing is known": ([], THERE, {}, (4, 4), r.HERE), "its proxies died, its nodes serve": ([(9, 0)] * 4, GONE, {}, (4, 4), r.HERE)}
 
 
+def known_zones():
+    """Two zones of which something was heard once, and nothing lately."""
+    zones = r.Zones(["home", "far"], "home")
+    for zone in ("home", "far"):
+        zones.outcome(-500.0, zone, "n0", True, 50.0)
+    assert [(z, state) for z, state, _ in zones.look(0.0, {}, CALM, {})] == [("home", r.HERE), ("far", r.HERE)]
+    return zones
+
+
 def look(zones, now, nodes, heard, more, listed, took=50.0):
     for n, (answered, silent) in enumerate(nodes):
         for fine in [True] * answered + [False] * silent:
@@ -118,14 +127,25 @@
 @pytest.mark.parametrize("name", SEEN)
 def test_what_is_with_a_zone_is_told_by_symptom_with_its_evidence(name):
     *facts, state = SEEN[name]
-    zones = r.Zones(["home", "far"], "home")
+    zones = known_zones()
     changed = look(zones, 1000.0, *facts)
     assert zones.zones["far"].state == state and zones.zones["home"].state == r.HERE
     assert [(z, s) for z, s, _ in changed] == ([("far", state)] if state != r.HERE else []) and all(e for *_, e in changed)
 
 
-def test_one_that_is_away_stays_so_until_something_answers_there():
+@pytest.mark.parametrize("name", SEEN)
+def test_a_zone_of_which_nothing_was_heard_is_away_or_not_known_yet_but_never_whole(name):
+    nodes, *facts, state = SEEN[name]
     zones = r.Zones(["home", "far"], "home")
+    look(zones, 1000.0, nodes, *facts)
+    answered = any(n for n, _ in nodes)
+    assert zones.zones["home"].state == r.UNKNOWN == zones.for_dispatches()["home"]
+    assert zones.zones["far"].state == (state if answered or state != r.HERE else r.UNKNOWN)
+    assert (zones.for_dispatches()["far"] in r.PRESENT) == (answered and state in r.PRESENT)
+
+
+def test_one_that_is_away_stays_so_until_something_answers_there():
+    zones = known_zones()
     assert look(zones, 1000.0, [(9, 0)] * 4, THERE, {}, (4, 4)) == []
     assert look(zones, 3000.0, [(0, 2)] * 4, GONE, {}, (4, 4))[0][1] == r.LOST
     # Nothing is sent there any more, and its proxies are back before its nodes are.
@@ -134,26 +154,27 @@
     assert look(zones, 12000.0, [(0, 0), (0, 0), (2, 0)], THERE, {}, (4, 4))[0][1] == r.HERE
     assert look(zones, 14000.0, [], THERE, {}, (0, 4))[0][1] == r.NODES
     # One without nodes is told by its proxies alone, both ways.
-    zones = r.Zones(["home", "far"], "home")
+    zones = known_zones()
     assert look(zones, 1000.0, [], GONE, {}, (0, 0))[0][1] == r.LOST and look(zones, 3000.0, [], THERE, {}, (0, 0))[0][1] == r.HERE
     # Where nobody is heard nothing is said of the others, but what answers nothing is sent nothing.
-    zones = r.Zones(["home", "far"], "home")
+    zones = known_zones()
     for at, nodes, state in ((1000.0, [(9, 0)] * 4, r.HERE), (3000.0, [(0, 2)] * 4, r.NODES), (5000.0, [], r.NODES), (7000.0, [(1, 0)], r.HERE)):
         look(zones, at, nodes, GONE, dict(alone=3000.0), (4, 4))
         assert zones.zones["far"].state == r.ALONE and zones.for_dispatches()["far"] == state
 
 
 def test_one_silent_node_is_no_zone_and_other_nodes_are_not_blamed_for_those_before_them():
-    zones = r.Zones(["home", "far"], "home")
+    zones = known_zones()
     assert look(zones, 1000.0, [(0, 9)], THERE, {}, (3, 3))[0][1] == r.HALF, "the one that is sick was asked by chance"
     assert look(zones, 3000.0, [(0, 9)], THERE, {}, (1, 1))[0][1] == r.NODES
     assert not zones.renewed("far", ["n0", "n5"]) and not zones.renewed("far", [])
-    assert zones.renewed("far", ["n5", "n6"]) and zones.zones["far"].state == r.HERE
+    assert zones.renewed("far", ["n5", "n6"]) and zones.zones["far"].state == r.UNKNOWN
     assert look(zones, 4100.0, [], THERE, {}, (2, 2)) == [] and not zones.renewed("far", ["n7"])
+    assert look(zones, 4200.0, [(1, 0)], THERE, {}, (2, 2))[0][1] == r.HERE
 
 
 def test_slow_is_not_gone_and_one_that_comes_and_goes_is_held_for_longer_each_time():
-    zones, well, lost = r.Zones(["home", "far"], "home"), ([(9, 0)] * 4, THERE, {}, (4, 4)), ([(0, 2)] * 4, GONE, {}, (4, 4))
+    zones, well, lost = known_zones(), ([(9, 0)] * 4, THERE, {}, (4, 4)), ([(0, 2)] * 4, GONE, {}, (4, 4))
     for n in range(60):
         assert not look(zones, 500.0 * n, *well)
     now = 31000.0
--- a/tests/test_stand.py
+++ b/tests/test_stand.py
@@ -133,14 +133,24 @@
         took[leading] = runs.until(lambda: seen.append(runs.stand.weights["a"]) or seen[-1] == 1.0, states=here, leading=leading)
         assert sorted(set(seen)) == list(s.STEPS) and seen == sorted(seen)
     assert took[True] < took[False]
-    # Told by its holder: at once where that is; its last word ages, and the rest is its own ramp.
+    # Told by its holder: by steps as far as that is, and no further; its last word ages, and the rest is its own ramp.
     runs = Runs(made())
     runs.look(lost)
-    runs.stand.ordered(runs.now, dict(a=3))
-    assert runs.look(here).weights["a"] == s.STEPS[3]
+    seen = []
+    while len(seen) < 3 * s.HEEDED / LOOK:
+        runs.stand.ordered(runs.now, dict(a=3))
+        seen.append(runs.look(here).weights["a"])
+    assert sorted(set(seen)) == list(s.STEPS[:4]) and seen == sorted(seen)
+    assert seen[int((s.HELD_SETTLE + 2 * s.HELD_EACH) / LOOK) + 1] == s.STEPS[3]
     runs.look(here, times=int(s.HEEDED / LOOK) - 2)
     assert runs.stand.weights["a"] == s.STEPS[3]
     runs.until(lambda: runs.stand.weights["a"] == 1.0, states=here)
+    # A step back of its holder is one at once.
+    runs = Runs(made())
+    runs.look(lost)
+    runs.until(lambda: runs.stand.zones["a"].level == 3, states=here)
+    runs.stand.ordered(runs.now, dict(a=1))
+    assert runs.look(here).weights["a"] == s.STEPS[1]
     # It does not stand it: a step back, and its time begins anew.
     runs = Runs(made())
     runs.look(lost)
