A zone that is away stays so until something answers there, however it was asked

Cause: the rule stood only where nothing had been sent; questions without an answer that were too few, or all at one node by the draw, fell through to 'in part' or 'here'. The same after a time in which this proxy was cut off itself. Change: one rule before those branches: no answer, no return. It holds for every branch behind it, so no other mix of questions can do it.

--- a/gannetfront/sites/recognition.py
+++ b/gannetfront/sites/recognition.py
@@ -115,6 +115,12 @@
             if all_members and alive and not here:
                 return CUT, told
             return NODES, told
+        # Asked and without an answer, but too seldom, or at too few nodes, to be told apart by symptom: no sign of its return. A draw that
+        # met one node only once gave a lost zone its traffic back.
+        if not answered and zone.state in AWAY and (nodes or zone.had):
+            return zone.state, told
+        if not answered and zone.state in (ALONE, ONE_WAY) and not zone.reached:
+            return NODES, told
         if mute and len(mute) >= PART * len(nodes) and silent >= LEAST:
             return HALF, told
         if zone.state == UNKNOWN and not zone.known:
