--- a/bench/calibrate.py
+++ b/bench/calibrate.py
@@ -4,6 +4,7 @@
 
 Times are from when an invocation's try was sent to its answer, of those that succeeded.
 """
+
 import tempfile
 
 import click
@@ -37,8 +38,16 @@
 def main(script_file, seeds):
     rows = []
     for seed in range(1, seeds + 1):
-        text = open(script_file, encoding="utf-8").read().replace("use base.txt", open(
-            f"{script_file.rpartition('/')[0]}/base.txt").read() if "use base.txt" in open(script_file).read() else "")
+        text = (
+            open(script_file, encoding="utf-8")
+            .read()
+            .replace(
+                "use base.txt",
+                open(f"{script_file.rpartition('/')[0]}/base.txt").read()
+                if "use base.txt" in open(script_file).read()
+                else "",
+            )
+        )
         text = "\n".join(x for x in text.splitlines() if not x.startswith("seed")) + f"\nseed {seed}\n"
         folder = tempfile.mkdtemp(prefix="gannet-calibrate-")
         path = f"{folder}/day.txt"
@@ -47,8 +56,12 @@
         day = script.read(path)
         facts = load.parse(schema.Fleet, script.fleet_text(day), path)
         Day(day, path, folder).play()
-        rows.append((figures(facts, records.read(folder, "tries"), records.read(folder, "dispatches")),
-                     figures(facts, (w := World(script.read(path)).run()).rows("tries"), w.rows("dispatches"))))
+        rows.append(
+            (
+                figures(facts, records.read(folder, "tries"), records.read(folder, "dispatches")),
+                figures(facts, (w := World(script.read(path)).run()).rows("tries"), w.rows("dispatches")),
+            )
+        )
     print(f"{'figure':26} {'sockets':>9} {'lab':>9} {'gap':>8}   (mean of {seeds} seeds; times in ms)")
     for name in rows[0][0]:
         a, b = (float(np.mean([r[n].get(name, np.nan) for r in rows])) for n in (0, 1))
--- a/bench/edge_rate.py
+++ b/bench/edge_rate.py
@@ -3,6 +3,7 @@
 Stand-ins for nodes, discovery and release API and an open loop of clients run in this process, the proxy in one of its own.
 Bounded: loopback, `rate` invocations a second for `seconds`.
 """
+
 import os
 import resource
 import subprocess
@@ -25,9 +26,17 @@
     free = host.Listener("127.0.0.1:0")
     free.close()
     rig.write(listen=free.where)
-    call = ["-m", "gannetfront.edge"] if not profile else ["-m", "cProfile", "-o", profile, "-m", "gannetfront.edge"]
-    run = subprocess.Popen([sys.executable, *call], env={"EDGE_CONFIG": rig.path}, stderr=subprocess.DEVNULL,
-                           cwd=Path(__file__).parents[1])
+    call = (
+        ["-m", "gannetfront.edge"]
+        if not profile
+        else ["-m", "cProfile", "-o", profile, "-m", "gannetfront.edge"]
+    )
+    run = subprocess.Popen(
+        [sys.executable, *call],
+        env={"EDGE_CONFIG": rig.path},
+        stderr=subprocess.DEVNULL,
+        cwd=Path(__file__).parents[1],
+    )
     idle, times, spread, count = [], [], host.Jitter(3), 0
 
     def one(n):
@@ -44,7 +53,9 @@
                 break
             except host.Refused:
                 host.sleep(50)
-        used = lambda: sum(int(x) for x in Path(f"/proc/{run.pid}/stat").read_text().rsplit(") ")[1].split()[11:13])
+        used = lambda: sum(
+            int(x) for x in Path(f"/proc/{run.pid}/stat").read_text().rsplit(") ")[1].split()[11:13]
+        )
         start, due, before = host.now(), host.now(), used()
         while host.now() < start + 1000 * seconds:
             due += 2000.0 / rate * spread.random()
@@ -54,8 +65,10 @@
         host.sleep(1000)
         cpu = (used() - before) / os.sysconf("SC_CLK_TCK")
         good = sorted(t for t, got in times if got == b"\\x9f03")
-        print(f"{count} invocations, {len(good)} succeeded, p50 {good[len(good) // 2]:.1f} ms, p99 "
-              f"{good[int(0.99 * len(good))]:.1f} ms (4 ms at the node), CPU {1000 * cpu / count:.3f} ms an invocation")
+        print(
+            f"{count} invocations, {len(good)} succeeded, p50 {good[len(good) // 2]:.1f} ms, p99 "
+            f"{good[int(0.99 * len(good))]:.1f} ms (4 ms at the node), CPU {1000 * cpu / count:.3f} ms an invocation"
+        )
     finally:
         run.terminate()
         run.wait()
--- a/bench/members.py
+++ b/bench/members.py
@@ -4,6 +4,7 @@
 
 In each play one member dies at second 10 while a part of the others is held up, each of them again and again for so many ms.
 """
+
 import sys
 import time
 
@@ -46,14 +47,21 @@
 @click.option("--seeds", default=3)
 @click.option("--held-for", default=2000.0)
 def main(sizes, seeds, held_for):
-    print("| members | held up | all know after, s | lives taken for gone | well ones suspected | held ones suspected | datagrams a second, most | bytes, most | CPU, s |")
+    print(
+        "| members | held up | all know after, s | lives taken for gone | well ones suspected | held ones suspected | datagrams a second, most | bytes, most | CPU, s |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for size in map(int, sizes.split(",")):
         for part in (0.0, 0.05):
             begun = time.process_time()
             got = [play(size, seed, part, held_for) for seed in range(1, seeds + 1)]
             column = lambda n: ", ".join(f"{g[n]:.1f}" if isinstance(g[n], float) else str(g[n]) for g in got)
-            print(f"| {size} | {part:.0%} | " + " | ".join(column(n) for n in range(6)) + f" | {time.process_time() - begun:.0f} |", flush=True)
+            print(
+                f"| {size} | {part:.0%} | "
+                + " | ".join(column(n) for n in range(6))
+                + f" | {time.process_time() - begun:.0f} |",
+                flush=True,
+            )
 
 
 if __name__ == "__main__":
--- a/bench/sidebyside.py
+++ b/bench/sidebyside.py
@@ -6,6 +6,7 @@
 memory with idle client connections. Medians over rounds, with the spread. Everything on loopback, in processes of
 its own: 3 nodes that answer at once, 1 relay or proxy, 3 clients.
 """
+
 import multiprocessing as mp
 import os
 import resource
@@ -21,6 +22,7 @@
 def node(pipe):
     from gannetfront import host
     from gannetfront.wire import http
+
     listener = host.Listener("127.0.0.1:0")
     pipe.send(listener.where)
 
@@ -37,6 +39,7 @@
                     stream.send(http.answer(200, [], BODY))
         except OSError:
             pass
+
     host.serve(listener, handle, None)
 
 
@@ -45,6 +48,7 @@
     from gannetfront import host
     from gannetfront.proxy.pools import Pools
     from gannetfront.wire import http
+
     listener, pools, turn = host.Listener("127.0.0.1:0"), Pools(4096, 60000.0, 1000.0), cycle(nodes)
     pipe.send(listener.where)
 
@@ -69,13 +73,14 @@
                 stream.send(http.answer(answer.status, http.carried(answer.headers), answer.body, keep))
         except OSError:
             pass
+
     host.serve(listener, handle, None)
 
 
-FLEET = '''zone: "a"
+FLEET = """zone: "a"
 operation { name: "read" effect: "idempotent" slo_time: 2000 time_limit: 5000 }
 rollout { machine_share: 1 cap: 1 }
-'''
+"""
 
 
 def proxy(pipe, nodes, profile=None):
@@ -87,18 +92,37 @@
     from gannetfront.config import load, schema_pb2 as schema
     from gannetfront.proxy.proxy import Proxy
     from gannetfront.wire import control_pb2 as c
+
     structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     where = tempfile.mkdtemp()
-    one = Proxy(load.parse(schema.Fleet, FLEET, "fleet"), load.parse(
-        schema.Proxy, f'control: "127.0.0.1:1" state_file: "{where}/kept" pool_cap: 4096 most_clients: 100000', "proxy"),
-        structlog.get_logger())
-    one.on_list(c.NodeList(revision=1, whole=True, epoch=1, nodes=[
-        c.Node(id=a, zone=0, build=1, kind=0, cell=0, state=c.READY, heft=1.0, age=-1.0, incarnation=1) for a in nodes]))
+    one = Proxy(
+        load.parse(schema.Fleet, FLEET, "fleet"),
+        load.parse(
+            schema.Proxy,
+            f'control: "127.0.0.1:1" state_file: "{where}/kept" pool_cap: 4096 most_clients: 100000',
+            "proxy",
+        ),
+        structlog.get_logger(),
+    )
+    one.on_list(
+        c.NodeList(
+            revision=1,
+            whole=True,
+            epoch=1,
+            nodes=[
+                c.Node(
+                    id=a, zone=0, build=1, kind=0, cell=0, state=c.READY, heft=1.0, age=-1.0, incarnation=1
+                )
+                for a in nodes
+            ],
+        )
+    )
     one.start()
     gc.freeze()
     pipe.send(one.listener.where)
     if profile:
         import cProfile
+
         prof = cProfile.Profile()
         host.sleep(500)
         prof.enable()
@@ -106,6 +130,7 @@
         prof.disable()
         import io
         import pstats
+
         text = io.StringIO()
         pstats.Stats(prof, stream=text).sort_stats("tottime").print_stats(22)
         pipe.send(text.getvalue())
@@ -119,7 +144,8 @@
     from gannetfront import host
     from gannetfront.wire import http
     import gc
-    gc.disable()    # its pauses would be read as the other side's
+
+    gc.disable()  # its pauses would be read as the other side's
     hist, count, turn = HdrHistogram(1, 60_000_000, 3), [0, 0], cycle(targets)
     end, chance, idle = host.now() + seconds * 1000, host.chance(os.getpid()), []
 
@@ -164,6 +190,7 @@
 def drive(targets, seconds, rate=0.0, clients=3):
     """(a second, p50 ms, p99 ms, failed)."""
     from hdrh.histogram import HdrHistogram
+
     made = [start(client, targets, CONNS // clients, seconds, rate / clients) for _ in range(clients)]
     whole, count, failed = HdrHistogram(1, 60_000_000, 3), 0, 0
     for process, pipe in made:
@@ -215,12 +242,15 @@
                 rows[name].append(drive(targets, seconds, rate)[1:])
         for name, got in rows.items():
             p50, p99 = (statistics.median(x[n] for x in got) for n in (0, 1))
-            print(f"  {name:9} {p50:7.2f} {p99:7.2f}  (p99 {min(x[1] for x in got):.2f} to {max(x[1] for x in got):.2f})"
-                  f"  failed {sum(x[2] for x in got)}")
+            print(
+                f"  {name:9} {p50:7.2f} {p99:7.2f}  (p99 {min(x[1] for x in got):.2f} to {max(x[1] for x in got):.2f})"
+                f"  failed {sum(x[2] for x in got)}"
+            )
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     print("memory with idle client connections, MiB")
     import socket
+
     for name, (process, _) in made.items():
         held, host_port = [], kinds[name][0].split(":")
         line = [f"none {rss(process):.0f}"]
@@ -229,6 +259,7 @@
                 while len(held) < many:
                     held.append(socket.create_connection((host_port[0], int(host_port[1]))))
                 import time
+
                 time.sleep(1)
                 line.append(f"{many} {rss(process):.0f}")
             except OSError as trouble:
--- a/bench/sites.py
+++ b/bench/sites.py
@@ -8,6 +8,7 @@
 Days of scripts/site-lost.txt (or --script) as processes; a line a load and program: the share of the asked value that was served from the
 loss to the return, the same of the best split (work left, by value per work), by operation, and seconds from the return to 0.95 of before.
 """
+
 import argparse
 import json
 import re
@@ -52,7 +53,9 @@
         first.setdefault(t["work"], t)
         if t["answer"] == "succeeded":
             op = day.operations[t["operation"]]
-            best[t["work"]] = max(best[t["work"]], op["value"] * (1 if t["ended"] - t["due"] <= op["slo"] else op["late"]))
+            best[t["work"]] = max(
+                best[t["work"]], op["value"] * (1 if t["ended"] - t["due"] <= op["slo"] else op["late"])
+            )
     found = defaultdict(lambda: defaultdict(lambda: [0.0, 0.0]))
     for wish, t in first.items():
         row = found[int((t["due"] - begin) / 1000)][t["operation"]]
@@ -70,6 +73,7 @@
 def one(job):
     path, load, seed, acts = job
     from gannetfront.day.play import Day
+
     with tempfile.TemporaryDirectory(prefix="sites-") as folder:
         played = Path(folder) / "day.txt"
         played.write_text(text_of(path, load, seed, acts))
@@ -84,12 +88,25 @@
     begin, end = min(t.at for t in gone) / 1000, max(t.until for t in gone) / 1000
     part = 1 - sum(day.zones.index(z) >= 0 for z in {t.zone for t in gone}) / len(day.zones)
     before = part_of(rows, 3, begin)
-    back = next((s - end for s in range(int(end), int(day.seconds) - 2)
-                 if part_of(rows, s, s + 2) >= 0.95 * before), None)
-    return dict(load=load, seed=seed, acts=acts, bound=split(day, part), before=before, first=part_of(rows, begin, begin + 2),
-                during=part_of(rows, begin, end), after=part_of(rows, end, min(end + 10, day.seconds - 2)), back=back,
-                ops={o: part_of(rows, begin, end, o) for o in day.operations}, toppled=facts["toppled"],
-                broken={n: len(s) for n, (_, s) in verdict.items() if s}, service=facts["service"])
+    back = next(
+        (s - end for s in range(int(end), int(day.seconds) - 2) if part_of(rows, s, s + 2) >= 0.95 * before),
+        None,
+    )
+    return dict(
+        load=load,
+        seed=seed,
+        acts=acts,
+        bound=split(day, part),
+        before=before,
+        first=part_of(rows, begin, begin + 2),
+        during=part_of(rows, begin, end),
+        after=part_of(rows, end, min(end + 10, day.seconds - 2)),
+        back=back,
+        ops={o: part_of(rows, begin, end, o) for o in day.operations},
+        toppled=facts["toppled"],
+        broken={n: len(s) for n, (_, s) in verdict.items() if s},
+        service=facts["service"],
+    )
 
 
 # ---- simulated ----
@@ -108,15 +125,39 @@
 rules signal=1 standstill=20000
 sites protect=order,debit acts={acts}
 """
-DRAWN = ("burst x={x}", "slow share=0.3 x=3", "pause share=0.3 ms={ms} every=2500", "slow_link zone=z1 ms=80", "drain share=0.2",
-         "fast_errors share=0.3 p=0.5", "crash share=0.15", "vanish share=0.1", "shared_slow x={x}", "neighbour share=0.4 x=2 every=1000",
-         "heavy_tail operation=read p=0.05 x=10", "kill proxy=1", "cut share=0.3", "report_late ms={ms}", "shift zone=z0 share=0.7",
-         "retry_abuse retries=3", "give_up patience=0.4 leave=0.2", "leak share=0.2 x=3", "hot_caller proxy=0 share=0.4")
+DRAWN = (
+    "burst x={x}",
+    "slow share=0.3 x=3",
+    "pause share=0.3 ms={ms} every=2500",
+    "slow_link zone=z1 ms=80",
+    "drain share=0.2",
+    "fast_errors share=0.3 p=0.5",
+    "crash share=0.15",
+    "vanish share=0.1",
+    "shared_slow x={x}",
+    "neighbour share=0.4 x=2 every=1000",
+    "heavy_tail operation=read p=0.05 x=10",
+    "kill proxy=1",
+    "cut share=0.3",
+    "report_late ms={ms}",
+    "shift zone=z0 share=0.7",
+    "retry_abuse retries=3",
+    "give_up patience=0.4 leave=0.2",
+    "leak share=0.2 x=3",
+    "hot_caller proxy=0 share=0.4",
+)
 
 
 def lab_day(lines, load, seed, zones=3, proxies=9, nodes=9, seconds=24, acts=1):
-    text = LAB.format(seconds=seconds, seed=seed, proxies=proxies, zones=" ".join(f"z{n}" for n in range(zones)), nodes=nodes,
-                      rate=load * nodes * 2 * 1000 / 60, acts=acts)
+    text = LAB.format(
+        seconds=seconds,
+        seed=seed,
+        proxies=proxies,
+        zones=" ".join(f"z{n}" for n in range(zones)),
+        nodes=nodes,
+        rate=load * nodes * 2 * 1000 / 60,
+        acts=acts,
+    )
     return script.Day(text + lines, "lab")
 
 
@@ -125,27 +166,45 @@
     from gannetfront.host import Jitter
     from gannetfront.lab.sites import world_of
     from gannetfront.sites.recognition import AWAY
-    draw, lines = Jitter(seed), "offer 5 good\n" if seed % 3 == 0 else "offer 5 errors size=0.4\n" if seed % 3 == 1 else ""
+
+    draw, lines = (
+        Jitter(seed),
+        "offer 5 good\n" if seed % 3 == 0 else "offer 5 errors size=0.4\n" if seed % 3 == 1 else "",
+    )
     ends = False
     for _ in range(1 + int(3 * draw.random())):
         kind = DRAWN[int(len(DRAWN) * draw.random())]
         if kind.split()[0] in ("crash", "vanish", "pause", "drain", "kill"):
             if ends:
-                continue        # a node, or a proxy, can only be in one of these at a time
+                continue  # a node, or a proxy, can only be in one of these at a time
             ends = True
-        lines += f"at {3 + 12 * draw.random():.1f} for {2 + 5 * draw.random():.1f} " + kind.format(x=f"{1.2 + draw.random():.1f}", ms=int(200 + 900 * draw.random())) + "\n"
+        lines += (
+            f"at {3 + 12 * draw.random():.1f} for {2 + 5 * draw.random():.1f} "
+            + kind.format(x=f"{1.2 + draw.random():.1f}", ms=int(200 + 900 * draw.random()))
+            + "\n"
+        )
     world, out = world_of(lab_day(lines, 0.3 + 0.5 * draw.random(), seed)), defaultdict(int)
     before = defaultdict(int)
     for shell in world.proxies:
+
         def look(life, shell=shell, inner=shell.look):
             inner(life)
             for zone, weight in shell.stand.weights.items() if shell.up else ():
                 # Left out though a node of it runs, of those that this proxy's list has: a list may name only what is gone.
-                there = [world.by_addr[e[0]] for e in shell.listed.values() if e[5] == "ready" and shell.sight.zone_of(e) == zone and e[0] in world.by_addr]
+                there = [
+                    world.by_addr[e[0]]
+                    for e in shell.listed.values()
+                    if e[5] == "ready" and shell.sight.zone_of(e) == zone and e[0] in world.by_addr
+                ]
                 away = shell.sight.zones.zones[zone].state in AWAY and weight == 0
-                wrong = away and any(p.state == "up" and not p.node.silent and p.at in shell.listed for p in there)
+                wrong = away and any(
+                    p.state == "up" and not p.node.silent and p.at in shell.listed for p in there
+                )
                 before[shell.number, zone] = before[shell.number, zone] + 1 if wrong else 0
-                out[zone] += before[shell.number, zone] > 1      # a list that has just come is seen with the next look
+                out[zone] += (
+                    before[shell.number, zone] > 1
+                )  # a list that has just come is seen with the next look
+
         shell.look = look
     world.run()
     return seed, lines, dict(out)
@@ -154,13 +213,28 @@
 def cell(job):
     from gannetfront.lab.baselines import POLICIES
     from gannetfront.lab.sites import world_of
+
     zones, lost, load, policy, proxies, nodes = job
-    day = lab_day("".join(f"at 6 for 10 vanish zone=z{n} share=1\n" for n in range(lost)), load, 7, zones, proxies, nodes, 20, int(policy == "plan"))
+    day = lab_day(
+        "".join(f"at 6 for 10 vanish zone=z{n} share=1\n" for n in range(lost)),
+        load,
+        7,
+        zones,
+        proxies,
+        nodes,
+        20,
+        int(policy == "plan"),
+    )
     world = world_of(day, POLICIES.get(policy))
     world.run()
     rows = seconds(day, world.rows("tries"))
-    return dict(zip(("zones", "lost", "load", "policy", "proxies", "nodes"), job), bound=split(day, 1 - lost / zones), during=part_of(rows, 6, 16),
-                ops={op: part_of(rows, 8, 16, op) for op in day.operations}, broken=sum(len(s) for _, s in world.verdict().values()))
+    return dict(
+        zip(("zones", "lost", "load", "policy", "proxies", "nodes"), job),
+        bound=split(day, 1 - lost / zones),
+        during=part_of(rows, 6, 16),
+        ops={op: part_of(rows, 8, 16, op) for op in day.operations},
+        broken=sum(len(s) for _, s in world.verdict().values()),
+    )
 
 
 def simulated(words):
@@ -172,11 +246,20 @@
             for seed, lines, out in wrong[:20]:
                 print(f"  seed {seed}: {out}: {'; '.join(lines.split(chr(10)))}")
             return
-        jobs = [(zones, lost, load, policy, words.proxies, words.nodes) for zones, most in ((3, 2), (5, 2)) for lost in range(1, most + 1)
-                for load in (0.4, 0.6, 0.8, 0.9) for policy in ("plan", "none", "random")]
+        jobs = [
+            (zones, lost, load, policy, words.proxies, words.nodes)
+            for zones, most in ((3, 2), (5, 2))
+            for lost in range(1, most + 1)
+            for load in (0.4, 0.6, 0.8, 0.9)
+            for policy in ("plan", "none", "random")
+        ]
         for f in pool.map(cell, jobs):
-            print(f"{f['zones']} zones, {f['lost']} lost, load {f['load']}: {f['policy']}: {f['during']:.3f} of the bound {f['bound']:.3f}; "
-                  + "; ".join(f"{op} {x:.3f}" for op, x in f["ops"].items()) + f"; broken {f['broken']}", flush=True)
+            print(
+                f"{f['zones']} zones, {f['lost']} lost, load {f['load']}: {f['policy']}: {f['during']:.3f} of the bound {f['bound']:.3f}; "
+                + "; ".join(f"{op} {x:.3f}" for op, x in f["ops"].items())
+                + f"; broken {f['broken']}",
+                flush=True,
+            )
 
 
 def main():
@@ -194,7 +277,9 @@
     if words.calm or words.map:
         return simulated(words)
     cases = [(float(load), acts) for load in words.loads.split(",") for acts in (0, 1)]
-    jobs = [(Path(words.script), load, 100 + seed, acts) for load, acts in cases for seed in range(words.seeds)]
+    jobs = [
+        (Path(words.script), load, 100 + seed, acts) for load, acts in cases for seed in range(words.seeds)
+    ]
     with ProcessPoolExecutor(words.jobs) as pool:
         found = list(pool.map(one, jobs))
     if words.json:
@@ -203,11 +288,14 @@
     for load, acts in cases:
         some = [f for f in found if (f["load"], f["acts"]) == (load, acts)]
         backs = [f["back"] for f in some if f["back"] is not None]
-        print(f"load {load:.1f} {'plan' if acts else 'none'}: served {mid([f['during'] for f in some]):.3f} of the bound "
-              f"{some[0]['bound']:.3f} (least {min(f['during'] for f in some):.3f}); first 2 s {mid([f['first'] for f in some]):.3f}; "
-              + "; ".join(f"{op} {mid([f['ops'][op] for f in some]):.3f}" for op in some[0]["ops"])
-              + f"; 10 s after {mid([f['after'] for f in some]):.3f}; back {sorted(backs)}; fell over {sum(f['toppled'] for f in some)}; "
-              f"broken {[f['broken'] for f in some if f['broken']]}", flush=True)
+        print(
+            f"load {load:.1f} {'plan' if acts else 'none'}: served {mid([f['during'] for f in some]):.3f} of the bound "
+            f"{some[0]['bound']:.3f} (least {min(f['during'] for f in some):.3f}); first 2 s {mid([f['first'] for f in some]):.3f}; "
+            + "; ".join(f"{op} {mid([f['ops'][op] for f in some]):.3f}" for op in some[0]["ops"])
+            + f"; 10 s after {mid([f['after'] for f in some]):.3f}; back {sorted(backs)}; fell over {sum(f['toppled'] for f in some)}; "
+            f"broken {[f['broken'] for f in some if f['broken']]}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/bench/slow_disk.py
+++ b/bench/slow_disk.py
@@ -4,6 +4,7 @@
 
 Exit 1 where a play breaks a rule, or a trail or a webhook disagrees with the sockets.
 """
+
 import sys
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
@@ -21,8 +22,14 @@
 
 TEXT = (Path(__file__).parents[1] / "scripts" / "slow-disk.txt").read_text()
 EACH = "at 0 for 30 slow_disk of=all ms=800 every=5000 lasts=1000 calls="
-LINES = {"nothing": "", "fdatasync": EACH + "fdatasync", "fsync": EACH + "fsync", "all": EACH + "all",
-         "stands still 10 s": "at 8 for 10 slow_disk of=proxy calls=all", "full 8 s": "at 8 for 8 slow_disk of=proxy calls=full"}
+LINES = {
+    "nothing": "",
+    "fdatasync": EACH + "fdatasync",
+    "fsync": EACH + "fsync",
+    "all": EACH + "all",
+    "stands still 10 s": "at 8 for 10 slow_disk of=proxy calls=all",
+    "full 8 s": "at 8 for 8 slow_disk of=proxy calls=full",
+}
 
 
 def play(line):
@@ -38,7 +45,11 @@
     fleet, tries = settings(schema.Fleet, str(folder / "fleet.textproto")), records.read(folder, "tries")
     safe = {o.name for o in fleet.operation if o.effect != "side-effecting"}
     stories = [s for _, some in verdict.values() for s in some] + facts["trail"][1] + facts["webhooks"][1]
-    return line, stories, (facts["service"], service(fleet, [t for t in tries if t["operation"] in safe]), facts["toppled"])
+    return (
+        line,
+        stories,
+        (facts["service"], service(fleet, [t for t in tries if t["operation"] in safe]), facts["toppled"]),
+    )
 
 
 @click.command()
@@ -48,15 +59,21 @@
 def main(lines, plays, at_once):
     wanted = lines or tuple(LINES)
     with ThreadPoolExecutor(at_once) as pool:
-        got = list(pool.map(lambda line: (line, _apart(line)), [line for _ in range(plays) for line in wanted]))
+        got = list(
+            pool.map(lambda line: (line, _apart(line)), [line for _ in range(plays) for line in wanted])
+        )
     bad = 0
     for line in wanted:
         done = [one for name, one in got if name == line]
         stories = [s for one in done for s in one["stories"]]
         bad += bool(stories)
-        figure = lambda n: "{:.3f} ({:.3f} to {:.3f})".format(*(f([one["figures"][n] for one in done if one["figures"]] or [0])
-                                                                for f in (np.median, min, max)))
-        print(f"| {line} | {len(done)} plays, {sum(bool(one['stories']) for one in done)} broken | {figure(0)} | {figure(1)} |", flush=True)
+        figure = lambda n: "{:.3f} ({:.3f} to {:.3f})".format(
+            *(f([one["figures"][n] for one in done if one["figures"]] or [0]) for f in (np.median, min, max))
+        )
+        print(
+            f"| {line} | {len(done)} plays, {sum(bool(one['stories']) for one in done)} broken | {figure(0)} | {figure(1)} |",
+            flush=True,
+        )
         for story in stories[:6]:
             print("   ", story[:400])
     sys.exit(bad > 0)
@@ -66,7 +83,10 @@
     """In a process of its own: a day has one loop."""
     import json
     import subprocess
-    done = subprocess.run([sys.executable, __file__, "--one", line], capture_output=True, text=True, timeout=240)
+
+    done = subprocess.run(
+        [sys.executable, __file__, "--one", line], capture_output=True, text=True, timeout=240
+    )
     try:
         return json.loads(done.stdout.splitlines()[-1])
     except (ValueError, IndexError):
@@ -76,7 +96,15 @@
 if __name__ == "__main__":
     if sys.argv[1:2] == ["--one"]:
         import json
+
         _, stories, figures = play(sys.argv[2])
-        print(json.dumps(dict(stories=stories if stories is not None else [figures], figures=figures if stories is not None else None)))
+        print(
+            json.dumps(
+                dict(
+                    stories=stories if stories is not None else [figures],
+                    figures=figures if stories is not None else None,
+                )
+            )
+        )
     else:
         main()
--- a/bench/steady.py
+++ b/bench/steady.py
@@ -4,6 +4,7 @@
 
 Exit 1 where a run failed; what failed is printed.
 """
+
 import subprocess
 import sys
 import tempfile
@@ -37,11 +38,17 @@
         try:
             for nth in range(times):
                 begun = time.monotonic()
-                done = subprocess.run([sys.executable, "-m", "pytest", *words], capture_output=True, text=True)
+                done = subprocess.run(
+                    [sys.executable, "-m", "pytest", *words], capture_output=True, text=True
+                )
                 lines = [x for x in done.stdout.splitlines() if x.startswith(("FAILED", "ERROR"))]
                 failed += done.returncode != 0
-                print(f"{nth + 1}: {'green' if done.returncode == 0 else f'exit {done.returncode}'} in {time.monotonic() - begun:.0f} s",
-                      *lines, sep="\n    ", flush=True)
+                print(
+                    f"{nth + 1}: {'green' if done.returncode == 0 else f'exit {done.returncode}'} in {time.monotonic() - begun:.0f} s",
+                    *lines,
+                    sep="\n    ",
+                    flush=True,
+                )
         finally:
             for one in beside:
                 one.kill()
--- a/bench/trail.py
+++ b/bench/trail.py
@@ -1,7 +1,8 @@
 """The trail: writers killed at random points, and what writing an intent first costs.
 
-    python bench/trail.py [--kills 1000] [--at-once 6]
+python bench/trail.py [--kills 1000] [--at-once 6]
 """
+
 import os
 import signal
 import subprocess
@@ -44,8 +45,12 @@
     """(acknowledged, missing, error) of one killed writer."""
     folder = tempfile.mkdtemp()
     draw = np.random.Generator(np.random.PCG64(turn))
-    one = subprocess.Popen([sys.executable, "-c", WRITER, folder], stdout=subprocess.PIPE, text=True,
-                           env=os.environ | dict(PYTHONPATH=str(Path(__file__).parents[1])))
+    one = subprocess.Popen(
+        [sys.executable, "-c", WRITER, folder],
+        stdout=subprocess.PIPE,
+        text=True,
+        env=os.environ | dict(PYTHONPATH=str(Path(__file__).parents[1])),
+    )
     lines = [one.stdout.readline() for _ in range(int(draw.integers(1, 60)))]
     host.sleep(0)
     one.send_signal(signal.SIGKILL)
@@ -75,13 +80,19 @@
                     at = host.now()
                     one.written("intent", 5000, request="x" * 20, op=1, seq=0, node="127.0.0.1:10000")
                     spans.append(host.now() - at)
+
             host.join([host.spawn(write) for _ in range(writers)], 6000)
-            print(f"delay {delay:g} ms, {writers:2} at once: {len(spans) / 3:7.0f} intents a second, p50 {np.percentile(spans, 50):.2f} "
-                  f"ms, p99 {np.percentile(spans, 99):.2f} ms", flush=True)
+            print(
+                f"delay {delay:g} ms, {writers:2} at once: {len(spans) / 3:7.0f} intents a second, p50 {np.percentile(spans, 50):.2f} "
+                f"ms, p99 {np.percentile(spans, 99):.2f} ms",
+                flush=True,
+            )
     with ThreadPoolExecutor(at_once) as pool:
         got = list(pool.map(kill, range(kills)))
-    print(f"{kills} kills: {sum(g[0] for g in got)} records acknowledged, {sum(g[1] for g in got)} missing, "
-          f"{sum(g[2] is not None for g in got)} trails damaged")
+    print(
+        f"{kills} kills: {sum(g[0] for g in got)} records acknowledged, {sum(g[1] for g in got)} missing, "
+        f"{sum(g[2] is not None for g in got)} trails damaged"
+    )
     for error in sorted({g[2] for g in got if g[2]})[:5]:
         print("   ", error)
 
--- a/bench/troubles.py
+++ b/bench/troubles.py
@@ -4,6 +4,7 @@
 
 Exit 1 if any day breaks a rule or does not play.
 """
+
 import json
 import subprocess
 import sys
@@ -18,7 +19,9 @@
 
 def play(path):
     folder = tempfile.mkdtemp(prefix=f"gannet-{path.stem}-")
-    run = lambda *words: subprocess.run([sys.executable, "-m", *words], capture_output=True, text=True, timeout=180)
+    run = lambda *words: subprocess.run(
+        [sys.executable, "-m", *words], capture_output=True, text=True, timeout=180
+    )
     day = run("gannetfront.cli.day", str(path), "--records", folder)
     audit = run("gannetfront.cli.audit", folder, "--json")
     try:
@@ -45,8 +48,13 @@
             broken = [s for r in facts["rules"].values() for s in r["broken"]]
             bad += bool(broken)
             builds = ", ".join(f"{b} {p}" for b, p in facts["phases"].items() if b != "1")
-            print(f"{name:18} {facts['service']:.3f}  " + " ".join(counts) + f"  {builds}"
-                  + (f"; {facts['toppled']} fell over" if facts["toppled"] else ""), flush=True)
+            print(
+                f"{name:18} {facts['service']:.3f}  "
+                + " ".join(counts)
+                + f"  {builds}"
+                + (f"; {facts['toppled']} fell over" if facts["toppled"] else ""),
+                flush=True,
+            )
             for story in broken[:3]:
                 print("    " + story)
     print(f"{len(paths)} troubles, {bad} bad")
--- a/gannetfront/audit/admission.py
+++ b/gannetfront/audit/admission.py
@@ -7,7 +7,11 @@
 
 def judge(tries, events, allow):
     """(tries checked, [story]) or None where the day had no directory."""
-    here = sorted((e["at"], e["what"] == "directory here") for e in events if e["what"] in ("directory here", "directory away"))
+    here = sorted(
+        (e["at"], e["what"] == "directory here")
+        for e in events
+        if e["what"] in ("directory here", "directory away")
+    )
     if not here:
         return None
     gone = {}
@@ -31,13 +35,21 @@
             if t["tenant"] == "nobody":
                 stories.append(f"{t['request']}: '{t['tenant']}' is in no directory and got in")
             elif before and before[-1][1] and t["sent"] > told(before[-1][0]) + allow:
-                stories.append(f"{t['request']}: '{t['tenant']}' got in {t['sent'] - told(before[-1][0]):.0f} ms after it could be "
-                               "known that it is gone")
+                stories.append(
+                    f"{t['request']}: '{t['tenant']}' got in {t['sent'] - told(before[-1][0]):.0f} ms after it could be "
+                    "known that it is gone"
+                )
         elif t["status"] == 403 and t["tenant"] != "nobody":
             # Turned away for good though it is there, and had been for longer than the news takes.
             last = [at for at, is_gone in news if at <= t["ended"] + 1]
-            is_gone_lately = any(is_gone and at <= t["ended"] and all(
-                told(x) + allow > t["sent"] for x, back in news if not back and x > at) for at, is_gone in news)
+            is_gone_lately = any(
+                is_gone
+                and at <= t["ended"]
+                and all(told(x) + allow > t["sent"] for x, back in news if not back and x > at)
+                for at, is_gone in news
+            )
             if not last or not is_gone_lately:
-                stories.append(f"{t['request']}: '{t['tenant']}' is in the directory and was refused for good")
+                stories.append(
+                    f"{t['request']}: '{t['tenant']}' is in the directory and was refused for good"
+                )
     return checked, stories
--- a/gannetfront/audit/duties.py
+++ b/gannetfront/audit/duties.py
@@ -2,11 +2,16 @@
 
 A place that was killed and started anew may have forgotten which tokens it saw; that it forgets is no excuse for acting below them.
 """
+
 from collections import defaultdict
 
-ORDERED = "seal",       # duties whose acts at all places are one work: its holders' acts may not interleave
-RULES = {"tokens": "accepted tokens never fall", "holders": "no two holders' acts interleave", "steps": "each step done once, in order",
-         "held": "a holder again in time, nothing left out"}
+ORDERED = ("seal",)  # duties whose acts at all places are one work: its holders' acts may not interleave
+RULES = {
+    "tokens": "accepted tokens never fall",
+    "holders": "no two holders' acts interleave",
+    "steps": "each step done once, in order",
+    "held": "a holder again in time, nothing left out",
+}
 
 
 def of_day(acts, events):
@@ -52,24 +57,48 @@
         found[rule][0] += 1
         if wrong:
             found[rule][1].append(story())
+
     for (duty, place), some in sorted(by_place.items()):
         for before, after in zip(some, some[1:]):
-            look("tokens", token(after) < token(before), lambda: f"{duty} at {place}: {token(after)} was let act after {token(before)}")
-            wrong = after["step"] <= before["step"] if duty in ORDERED else (token(after), after["step"]) <= (token(before), before["step"])
+            look(
+                "tokens",
+                token(after) < token(before),
+                lambda: f"{duty} at {place}: {token(after)} was let act after {token(before)}",
+            )
+            wrong = (
+                after["step"] <= before["step"]
+                if duty in ORDERED
+                else (token(after), after["step"]) <= (token(before), before["step"])
+            )
             look("steps", wrong, lambda: f"{duty} at {place}: step {after['step']} after {before['step']}")
     for duty in ORDERED:
         some = by_duty.get(duty, [])
         for before, after in zip(some, some[1:]):
-            look("holders", token(after) < token(before),
-                 lambda: f"{duty}: {token(after)} acted at {after['place']} after {token(before)} had at {before['place']}")
+            look(
+                "holders",
+                token(after) < token(before),
+                lambda: (
+                    f"{duty}: {token(after)} acted at {after['place']} after {token(before)} had at {before['place']}"
+                ),
+            )
             # A follower that could not hear the place that was furthest begins where the others are: order is each place's own.
-            look("steps", token(after) == token(before) and after["step"] < before["step"],
-                 lambda: f"{duty}: step {after['step']} at {after['place']} after {before['step']} at {before['place']}")
+            look(
+                "steps",
+                token(after) == token(before) and after["step"] < before["step"],
+                lambda: (
+                    f"{duty}: step {after['step']} at {after['place']} after {before['step']} at {before['place']}"
+                ),
+            )
     for duty in duties:
         times = [a["at"] for a in by_duty.get(duty, [])]
         look("held", not times, lambda: f"{duty}: nothing was ever done")
         for begin, until in apart(faults, bound) if bound is not None and duty in ORDERED else ():
             if end is None or until + bound <= end:
-                look("held", not any(until <= t <= until + bound for t in times),
-                     lambda: f"{duty}: nothing done within {bound:.0f} ms after the fault of {begin:.0f} to {until:.0f}")
+                look(
+                    "held",
+                    not any(until <= t <= until + bound for t in times),
+                    lambda: (
+                        f"{duty}: nothing done within {bound:.0f} ms after the fault of {begin:.0f} to {until:.0f}"
+                    ),
+                )
     return {rule: (checked, stories) for rule, (checked, stories) in found.items()}
--- a/gannetfront/audit/evidence.py
+++ b/gannetfront/audit/evidence.py
@@ -2,6 +2,7 @@
 
 The records of clients, nodes, pipeline and receiver are the measure; a trail that says less, or something else, is wrong.
 """
+
 from collections import defaultdict
 
 from ..release.outbox import TYPES
@@ -16,7 +17,9 @@
         if e["what"] == "proxy killed":
             killed[e["who"]].append(e["at"])
         elif e["what"] == "disk slow" and e["who"] in ("proxy", "all"):
-            slow.append((e["at"], *map(float, e["detail"].split())))     # until when; ms that a call takes, 0: until then
+            slow.append(
+                (e["at"], *map(float, e["detail"].split()))
+            )  # until when; ms that a call takes, 0: until then
         elif e["what"] == "disk held up":
             held_up.append((e["at"], float(e["detail"])))
 
@@ -29,6 +32,7 @@
             if k - slack - 2 * max(writes, default=0.0) <= at <= k + slack:
                 return True
         return False
+
     intents, answers = set(), defaultdict(list)
     for proxy, rows in kept.items():
         for _, _, kind, facts in rows:
@@ -42,17 +46,25 @@
         if proxy in kept and effect.get(d["operation"]) == "side-effecting":
             checked += 1
             if (proxy, d["request"], d["seq"]) not in intents:
-                stories.append(f"{d['request']}: dispatch {d['seq']} by proxy {proxy} reached {d['node']} and no trail knows of it")
+                stories.append(
+                    f"{d['request']}: dispatch {d['seq']} by proxy {proxy} reached {d['node']} and no trail knows of it"
+                )
     for t in tries:
         proxy = str(t["proxy"])
-        if proxy not in kept or t["answer"] not in ("succeeded", "terminated") or t["status"] in (400, 403, 404, 405):
+        if (
+            proxy not in kept
+            or t["answer"] not in ("succeeded", "terminated")
+            or t["status"] in (400, 403, 404, 405)
+        ):
             continue
         checked += 1
         said = answers[proxy, t["request"]]
         if not said and unwritten(proxy, t["ended"]):
             continue
         if len(said) != 1 or said[0] != t["answer"]:
-            stories.append(f"{t['request']}: its client was told '{t['answer']}', proxy {proxy}'s trail says {said or 'nothing'}")
+            stories.append(
+                f"{t['request']}: its client was told '{t['answer']}', proxy {proxy}'s trail says {said or 'nothing'}"
+            )
     return checked, stories
 
 
@@ -68,9 +80,13 @@
             stories.append(f"{e['what']}: {e['who']} {e['detail']}")
         elif e["what"] == "letter":
             first.setdefault(int(e["who"].rpartition("_")[2]), e["detail"])
-    stories += [f"{ident} was answered in {len(some)} ways: {sorted(some)}" for ident, some in sorted(answers.items()) if len(some) > 1]
+    stories += [
+        f"{ident} was answered in {len(some)} ways: {sorted(some)}"
+        for ident, some in sorted(answers.items())
+        if len(some) > 1
+    ]
     by_build = defaultdict(list)
-    for number, detail in first.items():        # in the order of arrival
+    for number, detail in first.items():  # in the order of arrival
         by_build[detail.split()[0]].append(number)
     for build, numbers in sorted(by_build.items()):
         checked += len(numbers)
--- a/gannetfront/audit/rules.py
+++ b/gannetfront/audit/rules.py
@@ -4,14 +4,21 @@
 it was sent; `slack` (ms) is what that way may take, and every rule gives it to the proxy: what is called a breach is
 one however the way went. Each `rule_*` yields (breach, story) and counts what it looked at in `checked`.
 """
+
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
 
 from ..records import CLIENT_LATE
 
-LOOK = 20.0     # ms that a witness's look at who waits for a core goes back
-NEAR = 1000.0   # ms before a dispatch came in which a hold-up may have made it late: not any since the news of the drain
-RAN = ("ok", "error", "lost", "running", "cancelled")     # outcomes of a dispatch that its node had begun or may have
+LOOK = 20.0  # ms that a witness's look at who waits for a core goes back
+NEAR = 1000.0  # ms before a dispatch came in which a hold-up may have made it late: not any since the news of the drain
+RAN = (
+    "ok",
+    "error",
+    "lost",
+    "running",
+    "cancelled",
+)  # outcomes of a dispatch that its node had begun or may have
 
 
 class Judge:
@@ -24,7 +31,7 @@
         self.by_request = defaultdict(list)
         for d in self.dispatches:
             self.by_request[d["request"]].append(d)
-        self.lives = defaultdict(list)      # proxy -> times at which it was started or killed
+        self.lives = defaultdict(list)  # proxy -> times at which it was started or killed
         for e in sorted(events, key=lambda e: e["at"]):
             if e["what"] in ("proxy killed", "proxy started", "proxy stopped"):
                 self.lives[e["who"]].append((e["at"], e["what"]))
@@ -36,9 +43,25 @@
                 self.stalls[e["who"]].append((e["at"], float("inf")))
             elif e["what"] == "continued" and self.stalls[e["who"]]:
                 self.stalls[e["who"]][-1] = self.stalls[e["who"]][-1][0], e["at"]
-        self.told = [dict(row, at=next((end for begin, end in self.stalls.get(row["proxy"], ()) if begin - slack <= row["at"] < end),
-                                       row["at"])) for row in told] if self.stalls else told
-        self.kept_from = defaultdict(list)      # process -> (looked at from, ms that it waited for a core)
+        self.told = (
+            [
+                dict(
+                    row,
+                    at=next(
+                        (
+                            end
+                            for begin, end in self.stalls.get(row["proxy"], ())
+                            if begin - slack <= row["at"] < end
+                        ),
+                        row["at"],
+                    ),
+                )
+                for row in told
+            ]
+            if self.stalls
+            else told
+        )
+        self.kept_from = defaultdict(list)  # process -> (looked at from, ms that it waited for a core)
         for e in events:
             if e["what"] == "kept from running":
                 self.kept_from[e["who"]].append((e["at"], float(e["detail"])))
@@ -46,7 +69,9 @@
         self.held_up, self.not_judged = [], {}
         late_clients = sum(e["what"] == CLIENT_LATE for e in events)
         if late_clients:
-            self.not_judged["answered"] = late_clients      # never sent: no proxy owes an answer, and the day was not asked in full
+            self.not_judged["answered"] = (
+                late_clients  # never sent: no proxy owes an answer, and the day was not asked in full
+            )
         for e in sorted((e for e in events if e["what"] == "machine held up"), key=lambda e: e["at"]):
             begin, end = e["at"], e["at"] + float(e["detail"])
             if self.held_up and begin <= self.held_up[-1][1]:
@@ -56,8 +81,13 @@
 
     def verdict(self):
         """{rule: (checked, [story, ...])} in the order of the rules."""
-        rules = (("answered", self.rule_answered), ("effects", self.rule_effects), ("drains", self.rule_drains),
-                 ("cold", self.rule_cold), ("exposure", self.rule_exposure))
+        rules = (
+            ("answered", self.rule_answered),
+            ("effects", self.rule_effects),
+            ("drains", self.rule_drains),
+            ("cold", self.rule_cold),
+            ("exposure", self.rule_exposure),
+        )
         found = {name: list(rule()) for name, rule in rules}
         return {name: (self.checked[name], stories) for name, stories in found.items()}
 
@@ -73,11 +103,15 @@
 
     def stalled(self, proxy, begin, end):
         """ms of that time for which a script had the proxy stopped."""
-        return sum(max(0.0, min(end, until) - max(begin, since)) for since, until in self.stalls.get(str(proxy), ()))
+        return sum(
+            max(0.0, min(end, until) - max(begin, since)) for since, until in self.stalls.get(str(proxy), ())
+        )
 
     def died_within(self, proxy, begin, end):
-        return any(begin - self.slack <= at <= end + self.slack and what != "proxy started"
-                   for at, what in self.lives.get(str(proxy), ()))
+        return any(
+            begin - self.slack <= at <= end + self.slack and what != "proxy started"
+            for at, what in self.lives.get(str(proxy), ())
+        )
 
     def down_at(self, proxy, at):
         last = [what for t, what in self.lives.get(str(proxy), ()) if t <= at + self.slack]
@@ -86,7 +120,9 @@
     def story(self, request):
         seen = "; ".join(
             f"dispatch {d['seq']} by {d['proxy']} at {d['node']} build {d['build']} came {d['came']:.1f} "
-            f"{d['outcome']}{' with effect' if d['effect'] else ''}" for d in self.by_request.get(request, ()))
+            f"{d['outcome']}{' with effect' if d['effect'] else ''}"
+            for d in self.by_request.get(request, ())
+        )
         return f"invocation {request}: {seen or 'no dispatch reached a node'}"
 
     # ---- 1: one final answer, in time, nothing after it ----
@@ -94,7 +130,7 @@
     def rule_answered(self):
         for t in self.tries:
             if t["answer"] in ("left", "unreachable"):
-                continue    # a client that went is owed nothing; one that was not let in was never taken
+                continue  # a client that went is owed nothing; one that was not let in was never taken
             self.checked["answered"] += 1
             took = t["ended"] - t["sent"]
             at = f"proxy {t['proxy']} {t['operation']} sent {t['sent']:.1f} patience {t['patience']:.0f} ms"
@@ -102,14 +138,24 @@
                 yield f"bytes after the final answer: {at}; {self.story(t['request'])}"
             if t["answer"] in ("succeeded", "throttled", "terminated"):
                 # The client's clock starts before the first byte reaches the proxy: that way is slack as well.
-                over = took - (t["patience"] + self.grace + self.slack) - self.stalled(t["proxy"], t["sent"], t["ended"])
+                over = (
+                    took
+                    - (t["patience"] + self.grace + self.slack)
+                    - self.stalled(t["proxy"], t["sent"], t["ended"])
+                )
                 if over > 0 and not self.excused(
-                        "answered", t["sent"], t["ended"], over, f"proxy{t['proxy']}", "load"):
+                    "answered", t["sent"], t["ended"], over, f"proxy{t['proxy']}", "load"
+                ):
                     yield f"{t['answer']} after {took:.0f} ms: {at}; {self.story(t['request'])}"
-            elif (t["answer"] in ("none", "reset") and not self.died_within(t["proxy"], t["sent"], t["ended"])
-                  and not self.stalled(t["proxy"], t["sent"], t["ended"])):
+            elif (
+                t["answer"] in ("none", "reset")
+                and not self.died_within(t["proxy"], t["sent"], t["ended"])
+                and not self.stalled(t["proxy"], t["sent"], t["ended"])
+            ):
                 yield f"no answer ({t['answer']}): {at}; {self.story(t['request'])}"
-            elif t["answer"] == "other" and t["status"] != 403:     # whom the directory does not know: admission.py
+            elif (
+                t["answer"] == "other" and t["status"] != 403
+            ):  # whom the directory does not know: admission.py
                 yield f"an answer that is none of three (status {t['status']}): {at}"
 
     # ---- 2: no effect twice ----
@@ -146,12 +192,13 @@
         for mark, had in marks.items():
             if len(had) > 1:
                 yield f"mark {mark} had its effect {len(had)} times: " + "; ".join(
-                    sorted({self.story(d["request"]) for d in had}))
+                    sorted({self.story(d["request"]) for d in had})
+                )
 
     # ---- 3: nothing new to a draining or gone node after the grace ----
 
     def rule_drains(self):
-        ends = defaultdict(list)    # (proxy, node) -> (told, is listed ready from then on, incarnation)
+        ends = defaultdict(list)  # (proxy, node) -> (told, is listed ready from then on, incarnation)
         known = defaultdict(dict)
         listed = defaultdict(set)
         for row in sorted(self.told, key=lambda r: r["at"]):
@@ -159,7 +206,7 @@
             if row["kind"] == "whole":
                 listed[proxy] = set(known[proxy])
                 for node in known[proxy]:
-                    ends[proxy, node].append((row["at"], False))    # until the same list names it again
+                    ends[proxy, node].append((row["at"], False))  # until the same list names it again
                 known[proxy] = {}
             elif row["kind"] == "node":
                 ready = row["state"] == "ready"
@@ -173,11 +220,23 @@
             limit = d["came"] - self.slack - self.fleet.drain_grace
             at = bisect_right(news, (limit, True))
             # Ready again since, in time to have been sent for: the last word that counts is any after the limit.
-            if (at and not news[at - 1][1] and not any(ready and t <= d["came"] for t, ready in news[at:])
-                    and not self.excused("drains", max(news[at - 1][0], d["came"] - NEAR), d["came"], limit - news[at - 1][0],
-                                         f"proxy{d['proxy'].rpartition('/')[2]}", "kitchen")):
-                yield (f"{d['proxy']} sent to {d['node']} {d['came'] - news[at - 1][0]:.0f} ms after it was told that "
-                       f"it ends: {self.story(d['request'])}")
+            if (
+                at
+                and not news[at - 1][1]
+                and not any(ready and t <= d["came"] for t, ready in news[at:])
+                and not self.excused(
+                    "drains",
+                    max(news[at - 1][0], d["came"] - NEAR),
+                    d["came"],
+                    limit - news[at - 1][0],
+                    f"proxy{d['proxy'].rpartition('/')[2]}",
+                    "kitchen",
+                )
+            ):
+                yield (
+                    f"{d['proxy']} sent to {d['node']} {d['came'] - news[at - 1][0]:.0f} ms after it was told that "
+                    f"it ends: {self.story(d['request'])}"
+                )
 
     # ---- 4: no cold node pushed over ----
 
@@ -185,7 +244,7 @@
         rules, by_life = self.fleet, defaultdict(list)
         for d in self.dispatches:
             by_life[d["node"], d["incarnation"]].append(d)
-        heard = defaultdict(list)       # node, incarnation -> when each proxy was told of that start
+        heard = defaultdict(list)  # node, incarnation -> when each proxy was told of that start
         for row in self.told:
             if row["kind"] == "node" and row["state"] == "ready":
                 heard[row["node"], row["incarnation"]].append((row["proxy"], row["at"]))
@@ -200,15 +259,17 @@
             informed = lambda d: first.get(d["proxy"].rpartition("/")[2], 1e18) <= d["came"]
             span, at = rules.overload_for, [d["came"] for d in sent]
             for n, d in enumerate(sent):
-                window = sent[bisect_right(at, d["came"] - span):n + 1]
+                window = sent[bisect_right(at, d["came"] - span) : n + 1]
                 work = sum(x["work"] for x in window)
                 ramp = min(1.0, up["cold"] + (1 - up["cold"]) * (d["came"] - born) / up["cold_for"])
                 if work > 1.02 * rules.fall_multiple * up["power"] * ramp * span:
                     by_told = sum(x["work"] for x in window if informed(x))
                     if by_told >= 2 / 3 * work:
-                        yield (f"node {up['node']} ({d['came'] - born:.0f} ms after its start) was sent {work:.0f} ms "
-                               f"of work in {span:.0f} ms, {by_told / work:.0%} by proxies that knew of the start"
-                               f"{'; it fell over' if toppled else ''}")
+                        yield (
+                            f"node {up['node']} ({d['came'] - born:.0f} ms after its start) was sent {work:.0f} ms "
+                            f"of work in {span:.0f} ms, {by_told / work:.0%} by proxies that knew of the start"
+                            f"{'; it fell over' if toppled else ''}"
+                        )
                         break
 
     # ---- 5: exposure within the cap ----
@@ -224,7 +285,10 @@
             # the more it took the more it may send.
             # What came to a stopped process it took as it went on, for all that its client's watch said.
             proxy = str(t["proxy"])
-            at = next((end for begin, end in self.stalls.get(proxy, ()) if begin - self.slack <= t["sent"] < end), t["sent"])
+            at = next(
+                (end for begin, end in self.stalls.get(proxy, ()) if begin - self.slack <= t["sent"] < end),
+                t["sent"],
+            )
             taken[proxy].append((at, t["operation"]))
         for kept in taken.values():
             kept.sort()
@@ -252,24 +316,30 @@
                 begin = max(d["came"] - (r.window - 2 * self.slack), since, life)
                 made = len(kept) - bisect_left(kept, begin)
                 first = (d["came"] - r.window - 2 * self.slack, "")
-                took = sum(not r.by_operation or o == group for _, o in taken[proxy][
-                    bisect_left(taken[proxy], first):bisect_right(taken[proxy], (d["came"], "~"))])
+                took = sum(
+                    not r.by_operation or o == group
+                    for _, o in taken[proxy][
+                        bisect_left(taken[proxy], first) : bisect_right(taken[proxy], (d["came"], "~"))
+                    ]
+                )
                 if cap <= 0 or made > r.free + cap * took + 1e-9:
-                    yield (f"{proxy} sent {made} to build {d['build']} on trial, {r.free:g} + {cap:g} x {took} allowed: "
-                           f"{self.story(d['request'])}")
+                    yield (
+                        f"{proxy} sent {made} to build {d['build']} on trial, {r.free:g} + {cap:g} x {took} allowed: "
+                        f"{self.story(d['request'])}"
+                    )
 
     def terms(self, news, at, build):
         """(stage, cap, counted since) the proxy was under for `build`, the kindest reading; None: not on trial."""
         r, grace = self.fleet.rollout, self.fleet.drain_grace
         end = bisect_right(news, (at, 1 << 60))
         if not end:
-            return None     # never told of any stage: the judge knows nothing of its terms
+            return None  # never told of any stage: the judge knows nothing of its terms
         last = news[end - 1]
         if build < last[1] or build == last[1] and last[4] == 2:
             return None
         # News within the grace and the way: what held before may still have been in force.
-        recent = [n for n in news[max(0, end - 8):end] if n[0] > at - grace - self.slack]
-        before = news[end - len(recent) - 1:end] if len(recent) < end else recent
+        recent = [n for n in news[max(0, end - 8) : end] if n[0] > at - grace - self.slack]
+        before = news[end - len(recent) - 1 : end] if len(recent) < end else recent
         caps, since, stage = [], 0.0, 0
         for n in before:
             if build < n[1] or build == n[1] and n[4] == 2:
@@ -277,7 +347,7 @@
             caps.append((n[3] if n[1] == build else r.cap[0], n[2] if n[1] == build else 0))
         for n, m in zip(news[:end], news[1:end]):
             if m[1] == build and m[3] < (n[3] if n[1] == build else r.cap[0]) and m[0] + grace <= at:
-                since = m[0] + grace    # a lower cap binds after the grace, counted afresh from then
+                since = m[0] + grace  # a lower cap binds after the grace, counted afresh from then
         cap, stage = max(caps)
         return max(s for _, s in caps), cap, since
 
--- a/gannetfront/audit/sites.py
+++ b/gannetfront/audit/sites.py
@@ -3,21 +3,36 @@
 The order of refusal is worked out here from the settings: unprotected operations by value per work, the least first, then those that are
 protected, the last named first. Shares are of 2 seconds, so that chance is not taken for a breach.
 """
+
 from collections import defaultdict
 
-SPAN, LEAST = 2000.0, 25        # ms; tries of an operation in it, below which its share says nothing
-NOTICED, SETTLED = 3000.0, 12000.0      # ms from a loss until it must be acted upon; from its end until all is as before
-BEFORE = 0.25                   # refused more than one that is to be refused before it: by more than this is a breach
-CALM, STRAY = 0.1, 0.03         # shares refused with all sites there; of a proxy's dispatches that still go to a lost one
-RULES = {"order": "what is refused follows the order", "calm": "nothing is refused with all sites there",
-         "sent": "nothing new to a site that is lost"}
+SPAN, LEAST = 2000.0, 25  # ms; tries of an operation in it, below which its share says nothing
+NOTICED, SETTLED = (
+    3000.0,
+    12000.0,
+)  # ms from a loss until it must be acted upon; from its end until all is as before
+BEFORE = 0.25  # refused more than one that is to be refused before it: by more than this is a breach
+CALM, STRAY = (
+    0.1,
+    0.03,
+)  # shares refused with all sites there; of a proxy's dispatches that still go to a lost one
+RULES = {
+    "order": "what is refused follows the order",
+    "calm": "nothing is refused with all sites there",
+    "sent": "nothing new to a site that is lost",
+}
 
 
 def order_of(fleet):
     protect = list(fleet.protect)
     worth = lambda o: o.billed_value / o.work if o.work else float("inf")
-    return [o.name for o in sorted(fleet.operation, key=lambda o: (
-        (1, -protect.index(o.name), o.name) if o.name in protect else (0, worth(o), o.name)))]
+    return [
+        o.name
+        for o in sorted(
+            fleet.operation,
+            key=lambda o: (1, -protect.index(o.name), o.name) if o.name in protect else (0, worth(o), o.name),
+        )
+    ]
 
 
 def judge(fleet, zone_of, tries, dispatches, events):
@@ -25,7 +40,9 @@
     if not fleet.site_acts:
         return None
     struck = [(e["at"], float(e["detail"]), e["who"]) for e in events if e["what"] == "site struck"]
-    other = [e["at"] for e in events if e["what"] in ("proxy killed", "proxy started", "stalled", "continued")]
+    other = [
+        e["at"] for e in events if e["what"] in ("proxy killed", "proxy started", "stalled", "continued")
+    ]
     found, order = {rule: [0, []] for rule in RULES}, order_of(fleet)
     begin = min((t["sent"] for t in tries), default=0.0)
     seen = defaultdict(lambda: defaultdict(lambda: [0, 0]))
@@ -38,27 +55,47 @@
         found[rule][0] += 1
         if wrong:
             found[rule][1].append(story)
+
     for nth, rows in sorted(seen.items()):
         at = begin + nth * SPAN
         shares = {op: rows[op][1] / rows[op][0] for op in order if rows[op][0] >= LEAST}
         lost = [z for since, until, z in struck if since + NOTICED <= at and at + SPAN <= until]
         if lost:
             for nth_op, op in enumerate(order):
-                for later in order[nth_op + 1:]:
+                for later in order[nth_op + 1 :]:
                     if op in shares and later in shares:
-                        look("order", shares[later] > shares[op] + BEFORE,
-                             f"{later} refused {shares[later]:.2f}, {op} {shares[op]:.2f}, {at - begin:.0f} ms into the day, {', '.join(lost)} lost")
-        elif at > begin + SPAN and not any(since - SPAN <= at <= until + SETTLED for since, until, _ in struck) and not any(
-                at - SETTLED <= e <= at + SPAN for e in other):
+                        look(
+                            "order",
+                            shares[later] > shares[op] + BEFORE,
+                            f"{later} refused {shares[later]:.2f}, {op} {shares[op]:.2f}, {at - begin:.0f} ms into the day, {', '.join(lost)} lost",
+                        )
+        elif (
+            at > begin + SPAN
+            and not any(since - SPAN <= at <= until + SETTLED for since, until, _ in struck)
+            and not any(at - SETTLED <= e <= at + SPAN for e in other)
+        ):
             for op, share in shares.items():
-                look("calm", share > CALM, f"{op} refused {share:.2f}, {at - begin:.0f} ms into the day, no site lost")
+                look(
+                    "calm",
+                    share > CALM,
+                    f"{op} refused {share:.2f}, {at - begin:.0f} ms into the day, no site lost",
+                )
     for since, until, zone in struck:
         some = [d for d in dispatches if since + NOTICED <= d["came"] <= until]
         for proxy, home in zone_of.items():
-            if home == zone or any(since - NOTICED <= e["at"] <= until and e["who"] == str(proxy) and e["what"] == "proxy started" for e in events):
-                continue        # at home of one that is cut off it is the others that are gone; one that begins anew finds out anew
+            if home == zone or any(
+                since - NOTICED <= e["at"] <= until
+                and e["who"] == str(proxy)
+                and e["what"] == "proxy started"
+                for e in events
+            ):
+                continue  # at home of one that is cut off it is the others that are gone; one that begins anew finds out anew
             mine = [d for d in some if d["proxy"] == f"proxy/{proxy}"]
             stray = sum(fleet.zone[d["zone"]] == zone for d in mine)
             if mine:
-                look("sent", stray > STRAY * len(mine) + 2, f"proxy {proxy} sent {stray} of {len(mine)} to {zone}, lost since {since:.0f}")
+                look(
+                    "sent",
+                    stray > STRAY * len(mine) + 2,
+                    f"proxy {proxy} sent {stray} of {len(mine)} to {zone}, lost since {since:.0f}",
+                )
     return {rule: (checked, stories) for rule, (checked, stories) in found.items()}
--- a/gannetfront/benchlink/__main__.py
+++ b/gannetfront/benchlink/__main__.py
@@ -1,4 +1,5 @@
 """Plays any number of balancers on the simulator's wire: batches on standard input, replies on standard output."""
+
 import sys
 
 from ..balance import Balancer
@@ -14,7 +15,9 @@
         try:
             now, queue, extra, order, i = float(lines[0].split(" ")[1]), {}, [], [], None
         except (ValueError, IndexError):
-            raise codec.BadLine(f"a batch begins with round and its clock, not {' '.join(lines)[:60]!r}") from None
+            raise codec.BadLine(
+                f"a batch begins with round and its clock, not {' '.join(lines)[:60]!r}"
+            ) from None
         at = 1
         while at < len(lines):
             line = lines[at]
@@ -29,7 +32,7 @@
                         order.append(i)
                 elif name == "table":
                     size = int(p[2])
-                    self.banks[int(p[1])] = tuple(codec.entry(e.split(" ")) for e in lines[at:at + size])
+                    self.banks[int(p[1])] = tuple(codec.entry(e.split(" ")) for e in lines[at : at + size])
                     at += size
                 elif name == "start":
                     info = line.split(" ", 2)[2]
@@ -46,7 +49,9 @@
                     else:
                         queue[i].append(told)
             except (ValueError, IndexError, KeyError, TypeError) as trouble:
-                raise codec.BadLine(f"cannot read '{line[:60]}': {type(trouble).__name__} {trouble}") from None
+                raise codec.BadLine(
+                    f"cannot read '{line[:60]}': {type(trouble).__name__} {trouble}"
+                ) from None
         for i in order:
             if i in self.balancers:
                 out = self.writers[i]
@@ -54,7 +59,9 @@
                     self.balancers[i].round(now, queue[i], out)
                 except Exception as trouble:  # noqa: BLE001 - said with whose round it was, of how many events
                     told = " ".join(sorted({event[0] for event in queue[i]}))
-                    raise codec.BadLine(f"round of {i} at {now:.3f} ({told}): {type(trouble).__name__} {trouble}") from trouble
+                    raise codec.BadLine(
+                        f"round of {i} at {now:.3f} ({told}): {type(trouble).__name__} {trouble}"
+                    ) from trouble
                 lines_out = out.take()
                 if lines_out:
                     extra.append("at " + i)
--- a/gannetfront/benchlink/codec.py
+++ b/gannetfront/benchlink/codec.py
@@ -1,17 +1,48 @@
 """The simulator's wire (opal-1007): text lines to the events of interface.py and decisions back to lines."""
+
 import json
 
 from ..interface import (
-    CANCELLED, DRAINING, ERROR, FINGERPRINTED, FULL, GONE, IDEMPOTENT, MOOT, READY, RESET, SIDE_EFFECTING,
-    SUCCEEDED, TIMEOUT, UNCONNECTED, Deployment, Operation, Rollout)
-
-STATUS = {"100": SUCCEEDED, "301": ERROR, "302": FULL, "303": TIMEOUT, "304": UNCONNECTED, "305": RESET,
-          "306": CANCELLED, "307": MOOT}
+    CANCELLED,
+    DRAINING,
+    ERROR,
+    FINGERPRINTED,
+    FULL,
+    GONE,
+    IDEMPOTENT,
+    MOOT,
+    READY,
+    RESET,
+    SIDE_EFFECTING,
+    SUCCEEDED,
+    TIMEOUT,
+    UNCONNECTED,
+    Deployment,
+    Operation,
+    Rollout,
+)
+
+STATUS = {
+    "100": SUCCEEDED,
+    "301": ERROR,
+    "302": FULL,
+    "303": TIMEOUT,
+    "304": UNCONNECTED,
+    "305": RESET,
+    "306": CANCELLED,
+    "307": MOOT,
+}
 EFFECT = {"retryable": IDEMPOTENT, "dedup": FINGERPRINTED, "fragile": SIDE_EFFECTING}
 READINESS = {"Ready": READY, "Terminating": DRAINING, "Gone": GONE}
 LIST_KIND = {"diff": "changes", "snapshot": "whole", "disk": "kept", "error": "failed"}
-REPORT = {"rif": "inflight", "q": "queue", "busy": "busy", "lat_ms": "service_time", "rate": "rate",
-          "fail_rate": "fail_rate"}
+REPORT = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "busy",
+    "lat_ms": "service_time",
+    "rate": "rate",
+    "fail_rate": "fail_rate",
+}
 
 
 class BadLine(Exception):
@@ -83,31 +114,68 @@
     site = Part(raw, "settings.")
     allowed, rules, fam, fees = (site.part(name) for name in ("ceilings", "rules", "familyInfo", "fees"))
     # What a word that is not known here may mean is taken as the strictest one: run once, one cell.
-    operations = tuple(Operation(
-        str(c.raw.get("name", "")), EFFECT.get(c.raw.get("semantics"), SIDE_EFFECTING), c.span("aimMs"),
-        c.span("giveUpMs"), c.figure("worth", 1.0), c.figure("lateWorth", 0.0, 1.0),
-        c.figure("dedupWindowMs", 0.0), c.raw.get("group", "cell"))
-        for c in site.parts("classes")) or site.wrong("classes", "a list of at least one class")
+    operations = tuple(
+        Operation(
+            str(c.raw.get("name", "")),
+            EFFECT.get(c.raw.get("semantics"), SIDE_EFFECTING),
+            c.span("aimMs"),
+            c.span("giveUpMs"),
+            c.figure("worth", 1.0),
+            c.figure("lateWorth", 0.0, 1.0),
+            c.figure("dedupWindowMs", 0.0),
+            c.raw.get("group", "cell"),
+        )
+        for c in site.parts("classes")
+    ) or site.wrong("classes", "a list of at least one class")
     caps, shares = fam.shares("stageCap"), fam.shares("shares")
     if len(caps) != len(shares):
         fam.wrong("shares", f"as many as stageCap, {len(caps)}")
     rollout = Rollout(
-        caps, shares, fam.figure("soakMs", 0.0), fam.figure("exposureWindowMs", 0.0), fam.figure("spareTries", 0.0),
-        fam.raw.get("counts") == "each_class", fam.count("guardedStages", 0), bool(fam.raw.get("noReturn")),
-        fam.count("toAdvance", 0), fam.count("backVotes", 0), fam.count("toPause", 0),
-        fam.raw.get("decidedBy") == "automatic", fam.figure("voteTtlMs", 0.0), fam.figure("answerWaitMs", 0.0),
-        fam.figure("repeatEveryMs", 0.0), fam.figure("metricsPeriodMs", 0.0), fam.figure("sampledShare", 0.0, 1.0),
-        fam.figure("reportedShare", 0.0, 1.0), fam.figure("lagFee", 0.0), fam.figure("harmPrice", 0.0))
+        caps,
+        shares,
+        fam.figure("soakMs", 0.0),
+        fam.figure("exposureWindowMs", 0.0),
+        fam.figure("spareTries", 0.0),
+        fam.raw.get("counts") == "each_class",
+        fam.count("guardedStages", 0),
+        bool(fam.raw.get("noReturn")),
+        fam.count("toAdvance", 0),
+        fam.count("backVotes", 0),
+        fam.count("toPause", 0),
+        fam.raw.get("decidedBy") == "automatic",
+        fam.figure("voteTtlMs", 0.0),
+        fam.figure("answerWaitMs", 0.0),
+        fam.figure("repeatEveryMs", 0.0),
+        fam.figure("metricsPeriodMs", 0.0),
+        fam.figure("sampledShare", 0.0, 1.0),
+        fam.figure("reportedShare", 0.0, 1.0),
+        fam.figure("lagFee", 0.0),
+        fam.figure("harmPrice", 0.0),
+    )
     return Deployment(
-        max(1, site.count("balancers", 1)), site.count("me", 0), site.count("myZone", 0), operations,
+        max(1, site.count("balancers", 1)),
+        site.count("me", 0),
+        site.count("myZone", 0),
+        operations,
         tuple((t.figure("portion", 0.0), t.figure("quotaPerS", 0.0)) for t in site.parts("realms")),
-        site.figure("overShareWorth", 1.0), rollout, bool(allowed.raw.get("probing")), bool(allowed.raw.get("mayTell")),
-        bool(allowed.raw.get("cancel")), bool(allowed.raw.get("mayDuplicate")),
+        site.figure("overShareWorth", 1.0),
+        rollout,
+        bool(allowed.raw.get("probing")),
+        bool(allowed.raw.get("mayTell")),
+        bool(allowed.raw.get("cancel")),
+        bool(allowed.raw.get("mayDuplicate")),
         allowed.figure("maxRetryAfterMs", 0.0) if allowed.raw.get("retryAfter") else 0.0,
-        allowed.count("sendCap", 1), site.raw.get("membershipMode") == "subscribe",
-        tuple(REPORT.get(f, f) for f in map(str, site.part("report").some("fields"))), fees.figure("crossZone", 0.0),
-        rules.figure("drainGraceMs", 0.0), rules.figure("coldShare", 1.0, 1.0), rules.figure("warmWithinMs", 0.0),
-        rules.figure("fallMultiple", 1.0), rules.figure("overloadForMs", 1.0), site.figure("tickMs", 1.0))
+        allowed.count("sendCap", 1),
+        site.raw.get("membershipMode") == "subscribe",
+        tuple(REPORT.get(f, f) for f in map(str, site.part("report").some("fields"))),
+        fees.figure("crossZone", 0.0),
+        rules.figure("drainGraceMs", 0.0),
+        rules.figure("coldShare", 1.0, 1.0),
+        rules.figure("warmWithinMs", 0.0),
+        rules.figure("fallMultiple", 1.0),
+        rules.figure("overloadForMs", 1.0),
+        site.figure("tickMs", 1.0),
+    )
 
 
 def among(text, some, what):
@@ -125,28 +193,65 @@
 
 
 def entry(p):
-    return (p[1], whole(p[2]), whole(p[3]), whole(p[4]), whole(p[5]), READINESS.get(p[6], GONE),
-            number(p[7], 1.0), number(p[8]))
+    return (
+        p[1],
+        whole(p[2]),
+        whole(p[3]),
+        whole(p[4]),
+        whole(p[5]),
+        READINESS.get(p[6], GONE),
+        number(p[7], 1.0),
+        number(p[8]),
+    )
 
 
 def event(p, banks, facts):
     """Turns a split line into (Balancer method, fields...), or None for a name this codec does not know."""
     name, fields = p[0], facts.report_fields
     if name == "inbound":
-        return ("invocation", int(p[1]), None if p[2] == "-" else p[2], among(p[5], facts.operations, "class"),
-                whole(p[6]), number(p[7]))
+        return (
+            "invocation",
+            int(p[1]),
+            None if p[2] == "-" else p[2],
+            among(p[5], facts.operations, "class"),
+            whole(p[6]),
+            number(p[7]),
+        )
     if name == "reply":
-        return ("outcome", int(p[1]), int(p[4]), p[3], STATUS.get(p[6], ERROR), number(p[2]), p[5] == "1",
-                report(fields, p[7]))
+        return (
+            "outcome",
+            int(p[1]),
+            int(p[4]),
+            p[3],
+            STATUS.get(p[6], ERROR),
+            number(p[2]),
+            p[5] == "1",
+            report(fields, p[7]),
+        )
     if name == "announce":
         kind = LIST_KIND.get(p[3], "failed")
         return ("listed", kind, () if kind == "failed" else banks[int(p[1])])
     if name == "ship_state":
-        return ("stage_told", p[1] == "1", among(p[2], facts.rollout.caps, "stage"), number(p[3]), number(p[4]), STATUS.get(p[5], ERROR),
-                whole(p[6]), whole(p[7]))
+        return (
+            "stage_told",
+            p[1] == "1",
+            among(p[2], facts.rollout.caps, "stage"),
+            number(p[3]),
+            number(p[4]),
+            STATUS.get(p[5], ERROR),
+            whole(p[6]),
+            whole(p[7]),
+        )
     if name == "tally":
-        return ("tally", whole(p[1]), number(p[2]), whole(p[3]), number(p[4]),
-                among(p[5], facts.operations, "class"), whole(p[6]))
+        return (
+            "tally",
+            whole(p[1]),
+            number(p[2]),
+            whole(p[3]),
+            number(p[4]),
+            among(p[5], facts.operations, "class"),
+            whole(p[6]),
+        )
     if name == "fired":
         return ("timer", p[1])
     if name == "client_gone":
@@ -179,7 +284,9 @@
         self.lines.append(f"drop_attempt {inv} {seq}")
 
     def throttle(self, inv, retry_in):
-        self.lines.append(f"overload_reply {inv} {retry_in:.3f}" if retry_in > 0 else f"overload_reply {inv} -")
+        self.lines.append(
+            f"overload_reply {inv} {retry_in:.3f}" if retry_in > 0 else f"overload_reply {inv} -"
+        )
 
     def terminate(self, inv):
         self.lines.append(f"abort {inv}")
--- a/gannetfront/calm/storm.py
+++ b/gannetfront/calm/storm.py
@@ -4,18 +4,19 @@
 zone's loss or a restart of clients is not taken for growth or for a bad build: growth within capacity is answered in time, a bad
 build fails where it runs while the earlier one does not. Nothing here decides; the decisions go by their own figures.
 """
+
 from collections import Counter, deque
 
-SPAN, BEGINS, ENDS, CALM_FOR = 1000.0, 0.6, 0.9, 3     # ms; shares answered in time; seconds of calm that end it
-LEAST = 5               # asked in a second, below which a share says nothing
-MOST_ROWS = 64          # of a report
+SPAN, BEGINS, ENDS, CALM_FOR = 1000.0, 0.6, 0.9, 3  # ms; shares answered in time; seconds of calm that end it
+LEAST = 5  # asked in a second, below which a share says nothing
+MOST_ROWS = 64  # of a report
 
 
 class Second:
     def __init__(self, at):
         self.at, self.asked, self.timely, self.again, self.marked, self.connects = at, 0, 0, 0, 0, 0
-        self.failed = Counter()     # how dispatches ended without an answer
-        self.by_build = Counter()   # (build, answered or not)
+        self.failed = Counter()  # how dispatches ended without an answer
+        self.by_build = Counter()  # (build, answered or not)
 
 
 class Watch:
@@ -61,7 +62,7 @@
             done, self.second = self.second, Second(self.second.at + SPAN)
             self.seconds.append(done)
             told += self.judge(done)
-            if now - self.second.at > 60 * SPAN:    # held up, or idle: what was not seen was no storm
+            if now - self.second.at > 60 * SPAN:  # held up, or idle: what was not seen was no storm
                 self.second = Second(now)
         return told
 
@@ -83,7 +84,12 @@
             self.storm["kind"] = self.kind(last)
             return []
         storm, self.storm, refused = self.storm, None, sum(self.refused.values())
-        return [("calm", dict(self.facts(last), after_s=round((done.at - storm["since"]) / 1000, 1), refused=refused))]
+        return [
+            (
+                "calm",
+                dict(self.facts(last), after_s=round((done.at - storm["since"]) / 1000, 1), refused=refused),
+            )
+        ]
 
     def kind(self, last):
         failed, builds = Counter(), Counter()
@@ -111,12 +117,27 @@
 
     def facts(self, last):
         asked = sum(s.asked for s in last)
-        return dict(asked=asked, timely=sum(s.timely for s in last), again=sum(s.again for s in last),
-                    connects=sum(s.connects for s in last), usual=round(sum(self.usual) / len(self.usual), 1) if self.usual else None,
-                    ready=self.ready, cold=self.cold, listed=self.listed)
+        return dict(
+            asked=asked,
+            timely=sum(s.timely for s in last),
+            again=sum(s.again for s in last),
+            connects=sum(s.connects for s in last),
+            usual=round(sum(self.usual) / len(self.usual), 1) if self.usual else None,
+            ready=self.ready,
+            cold=self.cold,
+            listed=self.listed,
+        )
 
     def report(self, ops):
         """What was not answered with success, to whom and in what weather: lines of text, the most first."""
         rows = sorted(self.refused.items(), key=lambda r: (-r[1], r[0]))
-        return "\n".join([f"{'count':>8}  tenant, operation, answer, while"] + [
-            f"{n:8}  {tenant}, {ops[op] if op != '' else '-'}, {kind}, {why}" for (tenant, op, kind, why), n in rows]) + "\n"
+        return (
+            "\n".join(
+                [f"{'count':>8}  tenant, operation, answer, while"]
+                + [
+                    f"{n:8}  {tenant}, {ops[op] if op != '' else '-'}, {kind}, {why}"
+                    for (tenant, op, kind, why), n in rows
+                ]
+            )
+            + "\n"
+        )
--- a/gannetfront/cli/common.py
+++ b/gannetfront/cli/common.py
@@ -1,4 +1,5 @@
 """What every program shares: logs, reading settings, exit codes."""
+
 import sys
 
 from ..config import load
--- a/gannetfront/cli/day.py
+++ b/gannetfront/cli/day.py
@@ -1,4 +1,5 @@
 """gannet-day: plays a day script as real processes and has it judged."""
+
 import tempfile
 
 import click
@@ -12,20 +13,30 @@
 
 @click.command()
 @click.argument("script_file", type=click.Path(dir_okay=False))
-@click.option("--records", type=click.Path(file_okay=False), help="folder for the records (default: a new one)")
+@click.option(
+    "--records", type=click.Path(file_okay=False), help="folder for the records (default: a new one)"
+)
 @click.option("--check", is_flag=True, help="only say what it would do")
-@click.option("--again", default=2, show_default=True, help="plays more, where the machine stood still and a rule could not be judged")
+@click.option(
+    "--again",
+    default=2,
+    show_default=True,
+    help="plays more, where the machine stood still and a rule could not be judged",
+)
 def main(script_file, records, check, again):
     """Play SCRIPT_FILE: start controller, nodes, proxies and clients, then judge the five rules."""
     from ..day.play import Day, Failed
+
     day = day_of(script_file)
     try:
         load.parse(schema.Fleet, fleet_text(day), f"{script_file} (as settings)")
     except load.BadSetting as bad:
         raise SystemExit(complain(str(bad)))
-    click.echo(f"{day.seconds:g} s, {day.fleet['nodes']} nodes, {day.proxies} proxies, {day.traffic['rate']:g} "
-               f"invocations a second ({day.load():.0%} of capacity), {len(day.troubles)} troubles, "
-               f"{len(day.offers)} builds offered")
+    click.echo(
+        f"{day.seconds:g} s, {day.fleet['nodes']} nodes, {day.proxies} proxies, {day.traffic['rate']:g} "
+        f"invocations a second ({day.load():.0%} of capacity), {len(day.troubles)} troubles, "
+        f"{len(day.offers)} builds offered"
+    )
     if check:
         return
     records = records or tempfile.mkdtemp(prefix="gannet-day-")
@@ -40,8 +51,11 @@
             break
         click.echo(f"not judged, as the machine stood still: {facts['not judged']}; played again")
     for nth, offer in enumerate(day.offers):
-        lines.insert(-1, f"build {nth + 2} was {'good' if not offer.bad else 'bad: ' + offer.form}; "
-                         f"it ended {facts['phases'].get(str(nth + 2), 'unannounced')}")
+        lines.insert(
+            -1,
+            f"build {nth + 2} was {'good' if not offer.bad else 'bad: ' + offer.form}; "
+            f"it ended {facts['phases'].get(str(nth + 2), 'unannounced')}",
+        )
     click.echo("\n".join([f"records in {records}", *lines]))
     raise SystemExit(status)
 
--- a/gannetfront/cli/duties.py
+++ b/gannetfront/cli/duties.py
@@ -1,4 +1,5 @@
 """gannet-duties: who holds the duties of the proxies, and handing them on."""
+
 import json
 
 import click
@@ -49,8 +50,17 @@
     for d in told["duties"]:
         here = f", here for {d['since_ms']} ms, {d['left_ms']} ms left unless renewed" if d["here"] else ""
         heard = "" if d["here"] else f", last heard of {d['seen_ms']} ms ago"
-        click.echo(f"{d['duty']}: " + (f"held by {d['holder']}, token {d['token']}{heard}" if d["holder"] is not None else "no holder known")
-                   + here + ("; this proxy's electors are of an earlier generation" if d["outdated"] else "") + f"; electors {', '.join(map(str, d['electors']))}; {d['last']}")
+        click.echo(
+            f"{d['duty']}: "
+            + (
+                f"held by {d['holder']}, token {d['token']}{heard}"
+                if d["holder"] is not None
+                else "no holder known"
+            )
+            + here
+            + ("; this proxy's electors are of an earlier generation" if d["outdated"] else "")
+            + f"; electors {', '.join(map(str, d['electors']))}; {d['last']}"
+        )
 
 
 @main.command()
--- a/gannetfront/cli/lab.py
+++ b/gannetfront/cli/lab.py
@@ -1,4 +1,5 @@
 """gannet-lab: days in virtual time, grids of them, reports and comparisons."""
+
 import os
 import sys
 from pathlib import Path
@@ -25,6 +26,7 @@
     from ..audit.rules import service
     from ..lab.baselines import POLICIES
     from ..lab.sites import world_of
+
     if policy not in POLICIES:
         raise SystemExit(complain(f"'{policy}' is none of {', '.join(POLICIES)}"))
     world = world_of(day_of(script_file), POLICIES[policy]).run()
@@ -33,28 +35,38 @@
         for row in table:
             digest.update(repr(row).encode())
     if timeline:
-        rows = [(r[0], f"node {r[1]} build {r[4]} {r[7]}") for r in world.lives] + [
-            (at, f"{what} {facts}") for at, what, facts in world.story] + [
-            (at, f"proxy {n}: {line}") for at, n, line in world.lines] + [(r[0], f"{r[1]} {r[2]}") for r in world.events]
+        rows = (
+            [(r[0], f"node {r[1]} build {r[4]} {r[7]}") for r in world.lives]
+            + [(at, f"{what} {facts}") for at, what, facts in world.story]
+            + [(at, f"proxy {n}: {line}") for at, n, line in world.lines]
+            + [(r[0], f"{r[1]} {r[2]}") for r in world.events]
+        )
         for at, what in sorted(rows):
             click.echo(f"{at / 1000:9.3f}  {what}")
     verdict = world.verdict()
     broken = 0
     for rule, (checked, stories) in verdict.items():
         broken += bool(stories)
-        click.echo(f"{rule}: {checked} checked, {len(stories)} broken" + "".join(f"\n    {s}" for s in stories[:3]))
-    click.echo(f"service {service(world.facts, world.rows('tries')):.3f} (simulated); {len(world.tries)} tries; "
-               f"digest {digest.hexdigest()}; timeline {timeline_digest(world.told_timeline())}")
+        click.echo(
+            f"{rule}: {checked} checked, {len(stories)} broken" + "".join(f"\n    {s}" for s in stories[:3])
+        )
+    click.echo(
+        f"service {service(world.facts, world.rows('tries')):.3f} (simulated); {len(world.tries)} tries; "
+        f"digest {digest.hexdigest()}; timeline {timeline_digest(world.told_timeline())}"
+    )
     raise SystemExit(1 if broken else 0)
 
 
 @main.command()
 @click.argument("experiment", type=click.Path(dir_okay=False))
-@click.option("--into", type=click.Path(file_okay=False), help="folder of cells (default: beside the experiment)")
+@click.option(
+    "--into", type=click.Path(file_okay=False), help="folder of cells (default: beside the experiment)"
+)
 @click.option("--workers", default=os.cpu_count(), show_default="cores")
 def run(experiment, into, workers):
     """Play the grid of EXPERIMENT; cells that are there already are kept."""
     from ..lab import grid
+
     try:
         one = grid.Experiment(experiment)
         into = into or str(Path(experiment).with_suffix(".cells"))
@@ -63,7 +75,9 @@
     except grid.BadExperiment as bad:
         raise SystemExit(complain(str(bad)))
     except OSError as trouble:
-        raise SystemExit(complain(f"{into}: a cell could not be written: {trouble}; what is written stays, run again"))
+        raise SystemExit(
+            complain(f"{into}: a cell could not be written: {trouble}; what is written stays, run again")
+        )
     click.echo(f"{played} cells played, {held} were there; {into}")
 
 
@@ -74,6 +88,7 @@
 def report(folder, html_file, png):
     """Tables and plots of a FOLDER of cells."""
     from ..lab import report as r
+
     found, bad = r.cells(folder)
     if not found:
         raise SystemExit(complain(f"{folder}: no cells"))
@@ -93,6 +108,7 @@
 def diff(a, b, figure):
     """Whether B differs from A in a figure: mean of the paired differences and its 95% interval."""
     from ..lab import report as r
+
     if figure not in r.FIGURES:
         raise SystemExit(complain(f"'{figure}' is none of {', '.join(r.FIGURES)}"))
     try:
--- a/gannetfront/cli/load.py
+++ b/gannetfront/cli/load.py
@@ -1,4 +1,5 @@
 """gannet-load: open-loop clients."""
+
 import click
 
 from .. import host
@@ -16,6 +17,7 @@
 def main(script_file, addresses, records, start, ready_file, log_level):
     """Play the traffic of SCRIPT_FILE at the proxies' ADDRESSES (host:port, in order of their numbers)."""
     from ..load.clients import Load
+
     log, day = logs("gannet-load", log_level), day_of(script_file)
     if len(addresses) != day.proxies:
         raise SystemExit(complain(f"{script_file}: {day.proxies} proxies, but {len(addresses)} addresses"))
--- a/gannetfront/cli/proxy.py
+++ b/gannetfront/cli/proxy.py
@@ -1,4 +1,5 @@
 """gannet-proxy: routes invocations as the decisions say."""
+
 import gc
 
 import click
@@ -18,16 +19,22 @@
 @click.argument("proxy", type=click.Path(dir_okay=False))
 @click.option("--ready-file", type=click.Path(), help="written with the address once it serves")
 @click.option("--log-level", default="info", show_default=True)
-@click.option("--records", type=click.Path(file_okay=False), help="folder for records of what duties had done here, for an audit")
+@click.option(
+    "--records",
+    type=click.Path(file_okay=False),
+    help="folder for records of what duties had done here, for an audit",
+)
 def run(fleet, proxy, ready_file, log_level, records):
     """Serve with the settings of the FLEET and of this PROXY (protobuf text format)."""
     from ..proxy.proxy import Proxy
+
     log = logs("gannet-proxy", log_level)
     facts, mine = settings(schema.Fleet, fleet), settings(schema.Proxy, proxy)
     try:
         acts = None
         if records:
             from ..records import Table
+
             acts = Table(records, "acts", f"proxy{mine.me}.{host.birth()}")
         one = Proxy(facts, mine, log.bind(proxy=mine.me), acts)
         one.start()
--- a/gannetfront/cli/release.py
+++ b/gannetfront/cli/release.py
@@ -1,4 +1,5 @@
 """gannet-release: the controller of builds, stages and the node list; and what operators ask of it by its store."""
+
 import json
 import os
 import sqlite3
@@ -21,7 +22,9 @@
 @main.command()
 @click.argument("fleet", type=click.Path(dir_okay=False))
 @click.argument("controller", type=click.Path(dir_okay=False))
-@click.option("--script", "script_file", type=click.Path(dir_okay=False), help="a day script: its offers and late news")
+@click.option(
+    "--script", "script_file", type=click.Path(dir_okay=False), help="a day script: its offers and late news"
+)
 @click.option("--records", type=click.Path(file_okay=False, exists=True), help="writes what was told to whom")
 @click.option("--start", type=float, help="clock reading at which the day begins, ms")
 @click.option("--size", default=12, show_default=True, help="nodes of the fleet at rest")
@@ -36,18 +39,23 @@
     from ..release.serve import Controller
     from ..release.store import Aside, BadStore, Store
     from ..trail.log import Trail
+
     log = logs("gannet-release", log_level)
     facts, mine = settings(schema.Fleet, fleet), settings(schema.Controller, controller)
     day = day_of(script_file) if script_file else None
-    scripted = Scripted(day, records, host.now() if start is None else start, f"release.{mine.name}.{os.getpid()}")
+    scripted = Scripted(
+        day, records, host.now() if start is None else start, f"release.{mine.name}.{os.getpid()}"
+    )
     rollout = load.deployment(facts, 0, "", 1.0).rollout
     try:
-        one = Controller(facts, mine, rollout, day.fleet["nodes"] if day else size, log, scripted.late, scripted.told)
+        one = Controller(
+            facts, mine, rollout, day.fleet["nodes"] if day else size, log, scripted.late, scripted.told
+        )
         if mine.store:
             one.store = Aside(Store(mine.store))
             try:
                 one.store.forget(mine.remembered / 1000)
-            except sqlite3.Error as trouble:     # held by another, or its disk is slow: the next start may do it
+            except sqlite3.Error as trouble:  # held by another, or its disk is slow: the next start may do it
                 log.warning("store not tidied", why=str(trouble))
         one.calendar = Calendar(mine.freeze)
         if mine.trail:
@@ -62,15 +70,26 @@
         if mine.hooks_listen:
             if not one.store:
                 raise ValueError("hooks_listen needs a store: deliveries must outlive a restart")
-            doors = {p.name: webhooks.Pipeline(p.name, [webhooks.secret_of((host.read_file(f) or b"").decode().strip())
-                                                        for f in p.secret_file], p.first, p.last) for p in mine.pipeline}
+            doors = {
+                p.name: webhooks.Pipeline(
+                    p.name,
+                    [webhooks.secret_of((host.read_file(f) or b"").decode().strip()) for f in p.secret_file],
+                    p.first,
+                    p.last,
+                )
+                for p in mine.pipeline
+            }
             hooks = host.Listener(mine.hooks_listen)
-            host.spawn(host.serve, hooks, lambda stream: one.hook(doors, mine.tolerance / 1000, stream), log, 256)
+            host.spawn(
+                host.serve, hooks, lambda stream: one.hook(doors, mine.tolerance / 1000, stream), log, 256
+            )
             log.info("webhooks", at=hooks.where, pipelines=sorted(doors))
     except (OSError, ValueError, BadStore) as trouble:
         raise SystemExit(complain(f"{controller}: cannot start: {trouble}"))
     if ready_file:
-        host.replace_file(ready_file, " ".join([one.listener.where, *([hooks.where] if mine.hooks_listen else [])]).encode())
+        host.replace_file(
+            ready_file, " ".join([one.listener.where, *([hooks.where] if mine.hooks_listen else [])]).encode()
+        )
     one.begin()
     scripted.play(one)
     host.on_signal(("SIGTERM", "SIGINT"), scripted.close)
@@ -80,6 +99,7 @@
 
 def opened(path):
     from ..release.store import BadStore, Store
+
     try:
         return Store(path)
     except BadStore as bad:
@@ -117,10 +137,22 @@
     saved, away = known
     epoch, holder, beat = one.turn()
     waits = next((m["why"] for m in reversed(one.history(200)) if m["what"] in ("waits", "stage")), "")
-    facts = dict(build=saved["ver"], phase=PHASES[saved["phase"]], stage=saved["stage"], queue=saved["queue"],
-                 held=saved.get("held"), votes=[[p, v] for p, v, _ in saved["votes"]], proxies=len(saved.get("members", ())),
-                 acting=holder or None, epoch=epoch, beat=beat, written_s_ago=round(away, 3), last_reason=waits,
-                 due=len(one.letters("due", most=10000)), dead=len(one.letters("dead", most=10000)))
+    facts = dict(
+        build=saved["ver"],
+        phase=PHASES[saved["phase"]],
+        stage=saved["stage"],
+        queue=saved["queue"],
+        held=saved.get("held"),
+        votes=[[p, v] for p, v, _ in saved["votes"]],
+        proxies=len(saved.get("members", ())),
+        acting=holder or None,
+        epoch=epoch,
+        beat=beat,
+        written_s_ago=round(away, 3),
+        last_reason=waits,
+        due=len(one.letters("due", most=10000)),
+        dead=len(one.letters("dead", most=10000)),
+    )
     shown(as_json, facts, "\n".join(f"{k:14} {v}" for k, v in facts.items()))
 
 
@@ -132,9 +164,12 @@
     number, end = one.put_order(kind, build, by, why), host.now() + limit
     while one.order(number)[0] == "new" and host.now() < end:
         host.sleep(20)
-    if one.withdraw_order(number):      # not so where it is taken up at the last moment
-        shown(as_json, dict(order=number, state="withdrawn", answer="no controller acts"),
-              f"no controller took it up within {limit:g} ms; the order is withdrawn")
+    if one.withdraw_order(number):  # not so where it is taken up at the last moment
+        shown(
+            as_json,
+            dict(order=number, state="withdrawn", answer="no controller acts"),
+            f"no controller took it up within {limit:g} ms; the order is withdrawn",
+        )
         raise SystemExit(3)
     state, answer = one.order(number)
     shown(as_json, dict(order=number, state=state, answer=answer), f"{state}: {answer}")
@@ -142,13 +177,18 @@
 
 
 def command(name, needs_build, text):
-    options = [STORE, *([click.argument("build", type=click.IntRange(2, 65535))] if needs_build else []),
-               click.option("--by", required=True, help="your name, for whoever reads it later"),
-               click.option("--why", required=True, help="the reason"),
-               click.option("--limit", default=5000.0, show_default=True, help="ms to wait for a controller"), JSON]
+    options = [
+        STORE,
+        *([click.argument("build", type=click.IntRange(2, 65535))] if needs_build else []),
+        click.option("--by", required=True, help="your name, for whoever reads it later"),
+        click.option("--why", required=True, help="the reason"),
+        click.option("--limit", default=5000.0, show_default=True, help="ms to wait for a controller"),
+        JSON,
+    ]
 
     def call(store, by, why, limit, as_json, build=None):
         ordered(store, name, build, by, why, limit, as_json)
+
     call.__doc__ = text + " Exit 0 done, 1 refused, 3 no controller took it up (it is withdrawn then)."
     for option in reversed(options):
         call = option(call)
@@ -171,8 +211,19 @@
     one = opened(store)
     for number, receiver, build, body, at, tries, why in one.letters("dead", most=10000):
         if not numbers or number in numbers:
-            shown(as_json, dict(number=number, receiver=receiver, build=build, at=at, tries=tries, why=why, body=json.loads(body)),
-                  f"{number:6} {receiver} build {build} {json.loads(body)['type']} after {tries} tries: {why}")
+            shown(
+                as_json,
+                dict(
+                    number=number,
+                    receiver=receiver,
+                    build=build,
+                    at=at,
+                    tries=tries,
+                    why=why,
+                    body=json.loads(body),
+                ),
+                f"{number:6} {receiver} build {build} {json.loads(body)['type']} after {tries} tries: {why}",
+            )
     if again:
         click.echo(f"{one.send_again(set(numbers) or None)} made due again", err=True)
 
@@ -183,6 +234,7 @@
 def snapshot(store, copy):
     """A whole copy of the STORE, also while a controller writes to it."""
     from pathlib import Path
+
     if Path(copy).exists():
         raise SystemExit(complain(f"{copy}: is there already"))
     opened(store).snapshot(copy)
--- a/gannetfront/cli/sites.py
+++ b/gannetfront/cli/sites.py
@@ -1,4 +1,5 @@
 """gannet-sites: what the loss of a zone will mean, before it happens."""
+
 import json
 from pathlib import Path
 
@@ -25,7 +26,9 @@
 
 @main.command()
 @click.argument("fleet", type=click.Path(dir_okay=False))
-@click.option("--lost", multiple=True, help="only this case: zones lost together (default: each zone and each pair)")
+@click.option(
+    "--lost", multiple=True, help="only this case: zones lost together (default: each zone and each pair)"
+)
 @click.option("--json", "as_json", is_flag=True)
 @click.option("--picture", type=click.Path(dir_okay=False), help="an .svg or .png of it")
 def plan(fleet, lost, as_json, picture):
@@ -33,21 +36,45 @@
     facts, sites = sites_of(fleet)
     unknown = [z for z in lost if z not in sites.capacity]
     if unknown or set(lost) == set(sites.capacity):
-        raise SystemExit(complain(f"--lost: {f'no site {unknown[0]}' if unknown else 'no site is left'}; known: {', '.join(sites.capacity)}"))
+        raise SystemExit(
+            complain(
+                f"--lost: {f'no site {unknown[0]}' if unknown else 'no site is left'}; known: {', '.join(sites.capacity)}"
+            )
+        )
     plans = [sites.without(case) for case in ([lost] if lost else sites.cases())]
     if not plans:
         raise SystemExit(complain(f"{fleet}: one site alone has nowhere to send its load"))
     if picture:
         from ..sites.picture import draw
+
         Path(picture).write_bytes(draw(plans, "png" if picture.endswith(".png") else "svg"))
     for p in plans:
         if as_json:
-            click.echo(json.dumps(dict(lost=p.lost, full=p.full, shares=p.shares(), refused=p.refused, value=p.value, price=p.price())))
+            click.echo(
+                json.dumps(
+                    dict(
+                        lost=p.lost,
+                        full=p.full,
+                        shares=p.shares(),
+                        refused=p.refused,
+                        value=p.value,
+                        price=p.price(),
+                    )
+                )
+            )
             continue
-        click.echo(f"{' and '.join(p.lost)} lost: {p.value:.1%} of the value remains, {p.price():.2%} paid for other zones")
+        click.echo(
+            f"{' and '.join(p.lost)} lost: {p.value:.1%} of the value remains, {p.price():.2%} paid for other zones"
+        )
         for zone, full in p.full.items():
-            click.echo(f"  {zone}: {full:.0%} full" + "".join(
-                f", {w / sites.capacity[zone]:.0%} of it from {a}" for (a, b), w in sorted(p.moves.items()) if b == zone))
+            click.echo(
+                f"  {zone}: {full:.0%} full"
+                + "".join(
+                    f", {w / sites.capacity[zone]:.0%} of it from {a}"
+                    for (a, b), w in sorted(p.moves.items())
+                    if b == zone
+                )
+            )
         for op, share in p.refused.items():
             click.echo(f"  refused: {share:.1%} of {op}")
     if not as_json:
@@ -64,7 +91,9 @@
     names = protect.split(",") if protect else list(facts.protect)
     unknown = [n for n in names if n not in sites.classes]
     if unknown or not names:
-        raise SystemExit(complain(f"--protect: {f'no operation {unknown[0]}' if unknown else 'nothing is protected'}"))
+        raise SystemExit(
+            complain(f"--protect: {f'no operation {unknown[0]}' if unknown else 'nothing is protected'}")
+        )
     for nth, name in enumerate(names):
         sites.classes[name].protected = nth
     wrong = 0
@@ -90,10 +119,17 @@
         return
     for name, site in told["sites"].items():
         held = "; held down by an operator" if site["held_down"] else ""
-        click.echo(f"{name}: {site['state']}, gets {site['weight']:.0%} of its usual share{held}" + (f"; {site['evidence']}" if site["evidence"] else ""))
+        click.echo(
+            f"{name}: {site['state']}, gets {site['weight']:.0%} of its usual share{held}"
+            + (f"; {site['evidence']}" if site["evidence"] else "")
+        )
     for op, share in told["refused"].items():
         click.echo(f"refused: {share:.1%} of operation {op}")
-    click.echo(f"the return is led by {told['holder']}" if told["holder"] is not None else "nobody leads the return: each proxy goes up its own ramp")
+    click.echo(
+        f"the return is led by {told['holder']}"
+        if told["holder"] is not None
+        else "nobody leads the return: each proxy goes up its own ramp"
+    )
 
 
 def ordering(name, verb, text):
@@ -115,13 +151,18 @@
     """Lines for the fleet's settings from the records in FOLDER (of gannet-day): capacity, traffic, work."""
     from .. import records
     from ..sites.measured import as_settings, measured
+
     fleet = settings(schema.Fleet, f"{folder}/fleet.textproto")
     zone_of = {}
     for path in sorted(Path(folder).glob("proxy*.textproto")):
         mine = settings(schema.Proxy, str(path))
         zone_of[mine.me] = mine.zone or fleet.zone[0]
     try:
-        found = measured(list(fleet.zone), zone_of, *(records.read(folder, name) for name in ("tries", "dispatches", "nodes")))
+        found = measured(
+            list(fleet.zone),
+            zone_of,
+            *(records.read(folder, name) for name in ("tries", "dispatches", "nodes")),
+        )
     except ValueError as trouble:
         raise SystemExit(complain(f"{folder}: {trouble}"))
     click.echo("\n".join(as_settings(*found)))
--- a/gannetfront/cli/tenants.py
+++ b/gannetfront/cli/tenants.py
@@ -1,4 +1,5 @@
 """gannet-tenants: reads tenants from a directory once and hands numbered views to many proxies."""
+
 import click
 
 from .. import host
@@ -35,6 +36,7 @@
 def run(directory, ready_file, seed, log_level):
     """Read the directory of the settings DIRECTORY and serve proxies."""
     from ..tenants.reader import Reader
+
     log, d = logs("gannet-tenants", log_level), of(directory)
     one, done = Reader(d, log, host.chance(seed, 5)), host.Once()
     try:
@@ -52,6 +54,7 @@
 def check(directory):
     """Read it once: tenants, groups, and each entry that cannot be used. Exit 0, 1 with quarantined ones, 2 unread."""
     from ..tenants.reader import check as read
+
     d = of(directory)
     password = (host.read_file(d.password_file) or b"").decode().strip() if d.password_file else ""
     try:
@@ -60,7 +63,9 @@
         raise SystemExit(complain(f"{d.address}: {type(trouble).__name__.lower()}: {trouble}"))
     click.echo(f"{len(view.members)} tenants in {len(view.groups)} groups")
     for name, portion in view.groups.items():
-        click.echo(f"  {name}: portion {portion:g}, {sum(g == name for g, _ in view.members.values())} tenants")
+        click.echo(
+            f"  {name}: portion {portion:g}, {sum(g == name for g, _ in view.members.values())} tenants"
+        )
     for dn, why in view.troubles:
         click.echo(f"quarantined {dn}: {why}")
     for url in referrals:
--- a/gannetfront/config/load.py
+++ b/gannetfront/config/load.py
@@ -2,6 +2,7 @@
 
 The schema (schema.proto) carries unit, range and need of every field; this file only walks it.
 """
+
 from google.protobuf import text_format
 
 from . import schema_pb2 as schema
@@ -48,6 +49,7 @@
 
 def check(message, file, lines, path=()):
     """Ranges and needs, as the schema states them."""
+
     def fail(name, count, what):
         at = lines.get(path + (name, count)) or lines.get(path) or 1
         raise BadSetting(f"{file}:{at}: {'.'.join(map(str, path[::2] + (name,)))}: {what}")
@@ -64,8 +66,15 @@
                     check(value, file, lines, path + (field.name, count))
             elif isinstance(value, (int, float)) and not isinstance(value, bool):
                 least, most = about.least, about.most
-                if about.HasField("least") and not least <= value or about.HasField("most") and not value <= most:
-                    fail(field.name, count, f"{value:g} is outside {least:g} to {most:g} {about.unit}".rstrip())
+                if (
+                    about.HasField("least")
+                    and not least <= value
+                    or about.HasField("most")
+                    and not value <= most
+                ):
+                    fail(
+                        field.name, count, f"{value:g} is outside {least:g} to {most:g} {about.unit}".rstrip()
+                    )
 
 
 def parse(kind, text, file):
@@ -77,9 +86,13 @@
         raise BadSetting(f"{file}:{trouble.GetLine() or 1}: {str(trouble).split(' : ', 1)[-1]}") from None
     lines = lines_of(text)
     check(message, file, lines)
+
     def fail(path, what):
-        at = lines.get(path) or lines.get(path[:-2]) or 1       # one that is absent is named where its parent begins
+        at = (
+            lines.get(path) or lines.get(path[:-2]) or 1
+        )  # one that is absent is named where its parent begins
         raise BadSetting(f"{file}:{at}: {'.'.join(map(str, path[::2]))}: {what}")
+
     if kind is schema.Fleet:
         check_fleet(message, fail)
     elif kind is schema.Proxy:
@@ -90,7 +103,7 @@
 DUTIES = "tenants", "seal", "site-return"
 
 
-SITES = 8       # as duties/returning.py packs them
+SITES = 8  # as duties/returning.py packs them
 
 
 def check_duties(mine, fail):
@@ -100,13 +113,20 @@
             fail(("mate", n, "duties", 0), "is needed where there are duties")
     for n, duty in enumerate(mine.duty):
         if duty.name not in DUTIES or duty.name in [d.name for d in mine.duty[:n]]:
-            fail(("duty", n, "name", 0), f"'{duty.name}' " + ("stands twice" if duty.name in DUTIES else f"is none of {', '.join(DUTIES)}"))
+            fail(
+                ("duty", n, "name", 0),
+                f"'{duty.name}' "
+                + ("stands twice" if duty.name in DUTIES else f"is none of {', '.join(DUTIES)}"),
+            )
         if mine.me not in roster:
             fail(("duty", n), f"this proxy, {mine.me}, is not among the mates")
         for name in ("elector", "elector_before"):
             for m, number in enumerate(getattr(duty, name)):
                 if number not in roster or number in getattr(duty, name)[:m]:
-                    fail(("duty", n, name, m), f"{number} " + ("stands twice" if number in roster else "is not among the mates"))
+                    fail(
+                        ("duty", n, name, m),
+                        f"{number} " + ("stands twice" if number in roster else "is not among the mates"),
+                    )
         if duty.elector_before and not duty.generation:
             fail(("duty", n, "generation", 0), "is needed while electors are changed: one more than it was")
         if duty.name == "tenants" and not duty.directory:
@@ -115,8 +135,11 @@
 
 def check_fleet(fleet, fail):
 
-    for kind, things in (("operation", [o.name for o in fleet.operation]), ("tenant", [t.name for t in fleet.tenant]),
-                         ("zone", list(fleet.zone))):
+    for kind, things in (
+        ("operation", [o.name for o in fleet.operation]),
+        ("tenant", [t.name for t in fleet.tenant]),
+        ("zone", list(fleet.zone)),
+    ):
         for n, name in enumerate(things):
             at = (kind, n) if kind == "zone" else (kind, n, "name", 0)
             if not name or any(c.isspace() or c in "/?#" for c in name):
@@ -129,21 +152,40 @@
         if op.group not in GROUPS:
             fail(("operation", n, "group", 0), f"'{op.group}' is none of {', '.join(GROUPS)}")
         if op.effect == "fingerprinted" and op.window <= 0:
-            fail(("operation", n, "window", 0), "a fingerprinted operation needs the time its marks are remembered")
+            fail(
+                ("operation", n, "window", 0),
+                "a fingerprinted operation needs the time its marks are remembered",
+            )
         if op.slo_time > op.time_limit:
-            fail(("operation", n, "slo_time", 0), f"{op.slo_time:g} is past the time_limit of {op.time_limit:g} ms")
+            fail(
+                ("operation", n, "slo_time", 0),
+                f"{op.slo_time:g} is past the time_limit of {op.time_limit:g} ms",
+            )
     names = [o.name for o in fleet.operation]
     for n, name in enumerate(fleet.protect):
         if name not in names or name in fleet.protect[:n]:
-            fail(("protect", n), f"'{name}' " + ("stands twice" if name in names else "is no operation of the fleet"))
+            fail(
+                ("protect", n),
+                f"'{name}' " + ("stands twice" if name in names else "is no operation of the fleet"),
+            )
     for n, site in enumerate(fleet.site):
         if site.zone not in fleet.zone or site.zone in [s.zone for s in fleet.site[:n]]:
-            fail(("site", n, "zone", 0), f"'{site.zone}' " + ("stands twice" if site.zone in fleet.zone else "is no zone of the fleet"))
+            fail(
+                ("site", n, "zone", 0),
+                f"'{site.zone}' "
+                + ("stands twice" if site.zone in fleet.zone else "is no zone of the fleet"),
+            )
         for m, traffic in enumerate(site.traffic):
             if traffic.operation not in names:
-                fail(("site", n, "traffic", m, "operation", 0), f"'{traffic.operation}' is no operation of the fleet")
+                fail(
+                    ("site", n, "traffic", m, "operation", 0),
+                    f"'{traffic.operation}' is no operation of the fleet",
+                )
             if not fleet.operation[names.index(traffic.operation)].work:
-                fail(("operation", names.index(traffic.operation), "work", 0), "is needed where a site has traffic of it")
+                fail(
+                    ("operation", names.index(traffic.operation), "work", 0),
+                    "is needed where a site has traffic of it",
+                )
     if fleet.site_acts and len(fleet.site) > SITES:
         fail(("site", SITES), f"more than {SITES} sites: an order about their return has no room for so many")
     missing = [z for z in fleet.zone if z not in [s.zone for s in fleet.site]]
@@ -157,12 +199,17 @@
                 fail(("way", n, end, 0), f"'{getattr(way, end)}' is no zone of the fleet")
     rollout = fleet.rollout
     if len(rollout.cap) != len(rollout.machine_share):
-        fail(("rollout", 0, "cap", 0), f"{len(rollout.cap)} caps for {len(rollout.machine_share)} machine_shares")
+        fail(
+            ("rollout", 0, "cap", 0),
+            f"{len(rollout.cap)} caps for {len(rollout.machine_share)} machine_shares",
+        )
     for name in ("cap", "machine_share"):
         values = getattr(rollout, name)
         for n in range(1, len(values)):
             if values[n] < values[n - 1]:
-                fail(("rollout", 0, name, n), f"{values[n]:g} is below the stage before it ({values[n - 1]:g})")
+                fail(
+                    ("rollout", 0, name, n), f"{values[n]:g} is below the stage before it ({values[n - 1]:g})"
+                )
     if rollout.machine_share[-1] != 1 or rollout.cap[-1] != 1:
         fail(("rollout", 0, "cap", len(rollout.cap) - 1), "the last stage must be the whole fleet: 1")
 
@@ -176,23 +223,27 @@
     return parse(kind, text, path)
 
 
-SEES = 10       # proxies past which one alone seldom meets enough outcomes of a new build: docs/studies/proxies.md
+SEES = 10  # proxies past which one alone seldom meets enough outcomes of a new build: docs/studies/proxies.md
 
 
 def advice(fleet):
     """What is allowed but seldom meant, a line each."""
     r = fleet.rollout
     if fleet.proxies > SEES and not fleet.may_signal and not r.tally_period:
-        yield (f"{fleet.proxies} proxies with neither may_signal nor rollout.tally_period: none alone sees enough of a new build to "
-               "vote, builds stay in their first stage")
+        yield (
+            f"{fleet.proxies} proxies with neither may_signal nor rollout.tally_period: none alone sees enough of a new build to "
+            "vote, builds stay in their first stage"
+        )
     if r.back_votes > max(1, fleet.proxies // 2):
         yield f"rollout.back_votes: {r.back_votes} of {fleet.proxies} proxies must see a build fail before it goes back"
     for op in fleet.operation:
         if op.effect == "fingerprinted" and op.group != "all" and fleet.may_duplicate:
             yield f"operation {op.name}: marks are shared by {op.group}, so copies stay within one {op.group}"
         if op.effect == "fingerprinted" and op.window <= fleet.standstill > 0:
-            yield (f"operation {op.name}: marks last {op.window:g} ms and a node may stand still for {fleet.standstill:g}: what may have run "
-                   "is not sent again")
+            yield (
+                f"operation {op.name}: marks last {op.window:g} ms and a node may stand still for {fleet.standstill:g}: what may have run "
+                "is not sent again"
+            )
         if op.effect == "fingerprinted" and op.window < op.time_limit:
             yield f"operation {op.name}: marks are forgotten ({op.window:g} ms) before its clients give up ({op.time_limit:g} ms)"
 
@@ -206,16 +257,22 @@
         zones = [zone_of[e] for e in duty.elector]
         says = lambda what: f"duty {duty.name}: {what}"
         if many - need == 0:
-            yield says(f"nobody holds it while {'its one elector is' if many == 1 else 'any of its electors is'} away; three survive one")
+            yield says(
+                f"nobody holds it while {'its one elector is' if many == 1 else 'any of its electors is'} away; three survive one"
+            )
         elif many % 2 == 0:
             yield says(f"{many} electors survive no more of them away than {many - 1} do")
         for zone in sorted({z for z in zones if many - zones.count(z) < need}):
             if len(set(zone_of.values())) > 1 and many > 1:
-                yield says(f"nobody holds it while zone {zone} is away: {zones.count(zone)} of {many} electors live there")
+                yield says(
+                    f"nobody holds it while zone {zone} is away: {zones.count(zone)} of {many} electors live there"
+                )
         if duty.elector_before:
             yield says("electors are being changed: a majority of both sets is needed until the next step")
         if duty.lease < 3 * mine.member_period:
-            yield says("its lease is shorter than it takes to see that a proxy is gone: the order of who tries first counts the dead")
+            yield says(
+                "its lease is shorter than it takes to see that a proxy is gone: the order of who tries first counts the dead"
+            )
 
 
 def explain():
@@ -243,19 +300,65 @@
 def deployment(fleet, me, zone, tick):
     """The facts of interface.py for one proxy; raises BadSetting for a zone the fleet does not have."""
     from ..interface import Deployment, Operation, Rollout
+
     if zone and zone not in fleet.zone:
         raise BadSetting(f"zone: '{zone}' is none of the fleet's ({', '.join(fleet.zone)})")
     r = fleet.rollout
     return Deployment(
-        balancers=fleet.proxies, me=me, zone=list(fleet.zone).index(zone) if zone else 0,
-        operations=tuple(Operation(o.name, effect_of(o, fleet.standstill), o.slo_time, o.time_limit, o.billed_value, o.late_value, o.window,
-                                   o.group) for o in fleet.operation),
+        balancers=fleet.proxies,
+        me=me,
+        zone=list(fleet.zone).index(zone) if zone else 0,
+        operations=tuple(
+            Operation(
+                o.name,
+                effect_of(o, fleet.standstill),
+                o.slo_time,
+                o.time_limit,
+                o.billed_value,
+                o.late_value,
+                o.window,
+                o.group,
+            )
+            for o in fleet.operation
+        ),
         # No portions, no tenants: one that must not be capped stands for all.
-        tenants=tuple((t.portion, 0.0) for t in fleet.tenant), over_share_value=fleet.over_share_value,
-        rollout=Rollout(tuple(r.cap), tuple(r.machine_share), r.soak, r.window, r.free, r.by_operation, r.guarded,
-                        r.no_return, r.on_votes, r.back_votes, 0, False, r.vote_life, r.answer_wait, r.told_every,
-                        r.tally_period, r.tally_share, 0.0, 0.0, 0.0),
-        may_probe=False, may_signal=fleet.may_signal, may_cancel=True, may_duplicate=fleet.may_duplicate,
-        retry_advice=fleet.retry_advice, dispatch_cap=fleet.dispatch_cap, must_subscribe=False, report_fields=(),
-        cross_zone_price=fleet.cross_zone_price, drain_grace=fleet.drain_grace, cold_share=fleet.cold_share,
-        warm_within=fleet.warm_within, fall_multiple=fleet.fall_multiple, overload_for=fleet.overload_for, tick=tick)
+        tenants=tuple((t.portion, 0.0) for t in fleet.tenant),
+        over_share_value=fleet.over_share_value,
+        rollout=Rollout(
+            tuple(r.cap),
+            tuple(r.machine_share),
+            r.soak,
+            r.window,
+            r.free,
+            r.by_operation,
+            r.guarded,
+            r.no_return,
+            r.on_votes,
+            r.back_votes,
+            0,
+            False,
+            r.vote_life,
+            r.answer_wait,
+            r.told_every,
+            r.tally_period,
+            r.tally_share,
+            0.0,
+            0.0,
+            0.0,
+        ),
+        may_probe=False,
+        may_signal=fleet.may_signal,
+        may_cancel=True,
+        may_duplicate=fleet.may_duplicate,
+        retry_advice=fleet.retry_advice,
+        dispatch_cap=fleet.dispatch_cap,
+        must_subscribe=False,
+        report_fields=(),
+        cross_zone_price=fleet.cross_zone_price,
+        drain_grace=fleet.drain_grace,
+        cold_share=fleet.cold_share,
+        warm_within=fleet.warm_within,
+        fall_multiple=fleet.fall_multiple,
+        overload_for=fleet.overload_for,
+        tick=tick,
+    )
--- a/gannetfront/day/platform.py
+++ b/gannetfront/day/platform.py
@@ -1,5 +1,6 @@
 """A day's release controllers, one or two on one store; the pipeline that offers builds to them by webhook, each delivery
 twice at once and once more later; and the receiver of what they send, which fails now and then."""
+
 import base64
 import hmac
 import json
@@ -12,7 +13,7 @@
 from ..wire.asking import ask, asked
 
 SECRET = "a day's secret, of enough bytes"
-AGAIN = 3000.0      # ms until a delivery comes once more
+AGAIN = 3000.0  # ms until a delivery comes once more
 
 
 class Platform:
@@ -34,24 +35,36 @@
         for name in self.names:
             where = self.day.ready(f"release.{name}").split()
             self.addresses[name], self.hooks = where[0], self.hooks + where[1:]
-            self.write(name, *where)    # a restart comes back where it is known
+            self.write(name, *where)  # a restart comes back where it is known
         return list(self.addresses.values())
 
     def write(self, name, listen, hooks="127.0.0.1:0"):
         folder = self.day.folder
         text = f'listen: "{listen}"\nname: "{name}"\n'
         if self.stored:
-            text += (f'store: "{folder / "release.db"}"\npatience: {self.release["patience"]:g}\nhooks_listen: "{hooks}"\n'
-                     f'pipeline {{ name: "day" secret_file: "{folder / "day.secret"}" }}\n'
-                     f'receiver {{ name: "day" url: "http://{self.receiver.where}/told" secret_file: "{folder / "day.secret"}" '
-                     'first_wait: 50 longest_wait: 400 answer_limit: 400 most_tries: 40 }\n')
+            text += (
+                f'store: "{folder / "release.db"}"\npatience: {self.release["patience"]:g}\nhooks_listen: "{hooks}"\n'
+                f'pipeline {{ name: "day" secret_file: "{folder / "day.secret"}" }}\n'
+                f'receiver {{ name: "day" url: "http://{self.receiver.where}/told" secret_file: "{folder / "day.secret"}" '
+                "first_wait: 50 longest_wait: 400 answer_limit: 400 most_tries: 40 }\n"
+            )
         if self.release["trail"]:
             text += f'trail: "{folder / f"trail.release.{name}"}"\n'
         (folder / f"controller.{name}.textproto").write_text(text)
 
     def spawn(self, name):
-        self.day.start(f"release.{name}", "release", "run", self.fleet, self.day.folder / f"controller.{name}.textproto",
-                       "--script", self.day.script, *self.facts, "--ready-file", self.day.folder / f"release.{name}.ready")
+        self.day.start(
+            f"release.{name}",
+            "release",
+            "run",
+            self.fleet,
+            self.day.folder / f"controller.{name}.textproto",
+            "--script",
+            self.day.script,
+            *self.facts,
+            "--ready-file",
+            self.day.folder / f"release.{name}.ready",
+        )
 
     # ---- the day ----
 
@@ -64,7 +77,9 @@
                         host.later(begin + offer.at + later - host.now(), self.deliver, nth, at, copy)
         for trouble in self.day.day.troubles:
             if trouble.kind in ("controller_kill", "controller_pause"):
-                host.later(begin + trouble.at - host.now(), self.strike, trouble.kind, trouble.until - trouble.at)
+                host.later(
+                    begin + trouble.at - host.now(), self.strike, trouble.kind, trouble.until - trouble.at
+                )
 
     def strike(self, kind, span):
         """The one that acts is killed or stopped; it comes back after `span`."""
@@ -106,17 +121,28 @@
             except (OSError, host.Refused, host.Timeout, http.BadAnswer):
                 status = 0
             if status not in (0, 503):
-                self.day.events.add(host.now(), "webhook answered", ident, f"{status} {text.decode().strip()}")
+                self.day.events.add(
+                    host.now(), "webhook answered", ident, f"{status} {text.decode().strip()}"
+                )
                 return self.open.remove((ident, at))
             host.sleep(200)
 
     def signed(self, nth, ident, body):
         digest = lambda data: hmac.digest(SECRET.encode(), data, "sha256")
         if nth % 2:
-            return [(b"x-delivery-id", ident.encode()), (b"x-hub-signature-256", b"sha256=" + digest(body).hex().encode())]
+            return [
+                (b"x-delivery-id", ident.encode()),
+                (b"x-hub-signature-256", b"sha256=" + digest(body).hex().encode()),
+            ]
         at = b"%d" % host.wall()
-        return [(b"webhook-id", ident.encode()), (b"webhook-timestamp", at), (
-            b"webhook-signature", b"v1," + base64.b64encode(digest(ident.encode() + b"." + at + b"." + body)))]
+        return [
+            (b"webhook-id", ident.encode()),
+            (b"webhook-timestamp", at),
+            (
+                b"webhook-signature",
+                b"v1," + base64.b64encode(digest(ident.encode() + b"." + at + b"." + body)),
+            ),
+        ]
 
     # ---- the receiver ----
 
@@ -130,12 +156,16 @@
             ident, at = (http.header(headers, n) or b"" for n in (b"webhook-id", b"webhook-timestamp"))
             want = base64.b64encode(hmac.digest(SECRET.encode(), ident + b"." + at + b"." + body, "sha256"))
             fine, told = http.header(headers, b"webhook-signature") == b"v1," + want, json.loads(body)
-            self.day.events.add(host.now(), "letter" if fine else "letter badly signed", ident.decode(),
-                                f"{told['data']['build']} {told['type']}")
+            self.day.events.add(
+                host.now(),
+                "letter" if fine else "letter badly signed",
+                ident.decode(),
+                f"{told['data']['build']} {told['type']}",
+            )
             if self.got % 5 == 2:
                 return stream.reset()
             if self.got % 5 == 4:
-                host.sleep(1000)        # it hangs: longer than it is waited for
+                host.sleep(1000)  # it hangs: longer than it is waited for
             stream.send(http.answer(500 if self.got % 5 == 0 else 204, [], b"", False), 1000)
         except (OSError, host.Timeout, http.BadRequest, ValueError, KeyError):
             pass
--- a/gannetfront/day/play.py
+++ b/gannetfront/day/play.py
@@ -1,4 +1,5 @@
 """Plays a day script as real processes on loopback: controller, nodes, proxies, clients; kills proxies where told."""
+
 import json
 import os
 import signal
@@ -14,10 +15,10 @@
 from ..script import fleet_text
 
 READY_LIMIT = 20000.0
-STRUCK = "proxy", "release", "tenants"      # whose disks a script may slow down: not the judge's own records
+STRUCK = "proxy", "release", "tenants"  # whose disks a script may slow down: not the judge's own records
 
 
-LEADS = 1, 3, 8     # times the usual time until a day's begin
+LEADS = 1, 3, 8  # times the usual time until a day's begin
 
 
 class Failed(Exception):
@@ -37,20 +38,38 @@
 
     def start(self, name, module, *words):
         log, struck = open(self.folder / f"{name}.log", "ab"), []
-        disk = [(self.begin + t.at, self.begin + t.until, t.ms, t.every, t.lasts, t.calls) for t in self.day.troubles
-                if t.kind == "slow_disk" and module in (STRUCK if t.of == "all" else (t.of,))]
-        clock = [(self.begin + t.at, self.begin + t.until, t.rate, t.set) for t in self.day.troubles
-                 if t.kind == "clock" and name in self.day.parties(t.who)]
+        disk = [
+            (self.begin + t.at, self.begin + t.until, t.ms, t.every, t.lasts, t.calls)
+            for t in self.day.troubles
+            if t.kind == "slow_disk" and module in (STRUCK if t.of == "all" else (t.of,))
+        ]
+        clock = [
+            (self.begin + t.at, self.begin + t.until, t.rate, t.set)
+            for t in self.day.troubles
+            if t.kind == "clock" and name in self.day.parties(t.who)
+        ]
         if disk or clock:
             path = self.folder / f"{name}.struck"
             path.write_text(json.dumps(dict(disk=disk, clock=clock)))
             struck = ["gannetfront.day.struck", str(path)]
         self.processes[name] = one = subprocess.Popen(
-            [sys.executable, "-m", *struck, module if "." in module else f"gannetfront.cli.{module}", *map(str, words)], stdout=log, stderr=log,
-            stdin=subprocess.DEVNULL, env={**os.environ, **self.env})
+            [
+                sys.executable,
+                "-m",
+                *struck,
+                module if "." in module else f"gannetfront.cli.{module}",
+                *map(str, words),
+            ],
+            stdout=log,
+            stderr=log,
+            stdin=subprocess.DEVNULL,
+            env={**os.environ, **self.env},
+        )
         log.close()
-        beside = self.folder / "pids.new"       # whole or not there, for the witness that reads it
-        beside.write_text(json.dumps({n: p.pid for n, p in self.processes.items() if not n.startswith("witness")}))
+        beside = self.folder / "pids.new"  # whole or not there, for the witness that reads it
+        beside.write_text(
+            json.dumps({n: p.pid for n, p in self.processes.items() if not n.startswith("witness")})
+        )
         beside.replace(self.folder / "pids")
         return one
 
@@ -76,8 +95,14 @@
         raise Failed("the processes were not up when the day was to begin")
 
     def whole(self, lead):
-        for old in [*self.folder.glob("*.arrow"), *self.folder.glob("*.ready"), *self.folder.glob("*.kept"),
-                    *self.folder.glob("*.log"), *self.folder.glob("release.db*"), *self.folder.glob("trail.*/*")]:
+        for old in [
+            *self.folder.glob("*.arrow"),
+            *self.folder.glob("*.ready"),
+            *self.folder.glob("*.kept"),
+            *self.folder.glob("*.log"),
+            *self.folder.glob("release.db*"),
+            *self.folder.glob("trail.*/*"),
+        ]:
             old.unlink()
         self.events = Table(self.folder, "events", "day")
         fleet = self.folder / "fleet.textproto"
@@ -92,17 +117,31 @@
             self.net = Net(self, self.platform.start())
             if self.day.directory:
                 self.directory(facts)
-            self.start("kitchen", "kitchen", "run", self.script, *[w for at in self.net.control("kitchen") for w in ("--control", at)], *facts)
+            self.start(
+                "kitchen",
+                "kitchen",
+                "run",
+                self.script,
+                *[w for at in self.net.control("kitchen") for w in ("--control", at)],
+                *facts,
+            )
             for n in range(self.day.proxies):
                 self.write_proxy(n, "127.0.0.1:0")
                 self.start_proxy(n)
             for n in range(self.day.proxies):
                 self.proxies[n] = self.ready(f"proxy{n}")
                 self.note("proxy started", n)
-                self.write_proxy(n, self.proxies[n])    # a restart comes back where its clients know it
+                self.write_proxy(n, self.proxies[n])  # a restart comes back where its clients know it
             # Clients that are still starting when the first arrivals are due send what has no time left (docs/incidents/clients-late.md).
-            self.start("load", "load", self.script, *[self.proxies[n] for n in range(self.day.proxies)], *facts,
-                       "--ready-file", self.folder / "load.ready")
+            self.start(
+                "load",
+                "load",
+                self.script,
+                *[self.proxies[n] for n in range(self.day.proxies)],
+                *facts,
+                "--ready-file",
+                self.folder / "load.ready",
+            )
             self.ready("load")
             if host.now() > begin - 300:
                 raise NotUp()
@@ -114,7 +153,9 @@
                     raise Failed("the clients did not end")
                 host.sleep(50)
             if self.processes["load"].returncode:
-                raise Failed(f"the clients could not ask all: {(self.folder / 'load.log').read_text()[-300:]}")
+                raise Failed(
+                    f"the clients could not ask all: {(self.folder / 'load.log').read_text()[-300:]}"
+                )
             host.sleep(300)
             self.platform.settle()
             self.alive()
@@ -124,16 +165,31 @@
 
     def directory(self, facts):
         """The stand-in directory and the one reader of it, before the proxies that come for views."""
-        self.start("directory", "kitchen", "directory", self.script, *facts, "--ready-file", self.folder / "directory.ready")
+        self.start(
+            "directory",
+            "kitchen",
+            "directory",
+            self.script,
+            *facts,
+            "--ready-file",
+            self.folder / "directory.ready",
+        )
         at, d = self.ready("directory"), self.day.directory
         (self.folder / "directory.textproto").write_text(
             f'address: "{at}"\ntenants_base: "ou=tenants,dc=day"\ntenants_filter: "(uid=*)"\ngroups_base: "ou=groups,dc=day"\n'
             f'portion: "portion"\nsync: {"true" if d["sync"] else "false"}\npoll_every: {d["poll"]:g}\nsweep_every: 2\n'
-            f'answer_limit: 3000\nstate_file: "{self.folder / "tenants.kept"}"\n')
+            f'answer_limit: 3000\nstate_file: "{self.folder / "tenants.kept"}"\n'
+        )
         if "tenants" in self.day.held_by_one():
-            return      # the proxies read it, one at a time
-        self.start("tenants", "tenants", "run", self.folder / "directory.textproto", "--ready-file",
-                   self.folder / "tenants.ready")
+            return  # the proxies read it, one at a time
+        self.start(
+            "tenants",
+            "tenants",
+            "run",
+            self.folder / "directory.textproto",
+            "--ready-file",
+            self.folder / "tenants.ready",
+        )
         self.views = self.ready("tenants")
 
     def alive(self):
@@ -144,14 +200,25 @@
     def write_proxy(self, n, listen):
         (self.folder / f"proxy{n}.textproto").write_text(
             f'me: {n}\nzone: "{self.day.zones[n % len(self.day.zones)]}"\nlisten: "{listen}"\n'
-            + "".join(f'control: "{at}"\n' for at in self.net.control(f"proxy{n}")) + f'state_file: "{self.folder / f"proxy{n}.kept"}"\nseed: {self.day.seed * 1000 + n}\n'
-            + self.net.members(n) + (f'trail: "{self.folder / f"trail.proxy{n}"}"\n' if self.day.release["trail"] else "")
+            + "".join(f'control: "{at}"\n' for at in self.net.control(f"proxy{n}"))
+            + f'state_file: "{self.folder / f"proxy{n}.kept"}"\nseed: {self.day.seed * 1000 + n}\n'
+            + self.net.members(n)
+            + (f'trail: "{self.folder / f"trail.proxy{n}"}"\n' if self.day.release["trail"] else "")
             + (f'tenants: "{self.views}"\n' if self.views else "")
-            + (f'tenants_file: "{self.folder / f"proxy{n}.view.kept"}"\n' if self.day.directory else ""))
+            + (f'tenants_file: "{self.folder / f"proxy{n}.view.kept"}"\n' if self.day.directory else "")
+        )
 
     def start_proxy(self, n):
-        self.start(f"proxy{n}", "proxy", "run", self.folder / "fleet.textproto", self.folder / f"proxy{n}.textproto",
-                   "--ready-file", self.folder / f"proxy{n}.ready", *(("--records", self.folder) if self.day.duties else ()))
+        self.start(
+            f"proxy{n}",
+            "proxy",
+            "run",
+            self.folder / "fleet.textproto",
+            self.folder / f"proxy{n}.textproto",
+            "--ready-file",
+            self.folder / f"proxy{n}.ready",
+            *(("--records", self.folder) if self.day.duties else ()),
+        )
 
     def note(self, what, n):
         self.events.add(host.now(), what, str(n), "")
@@ -159,7 +226,9 @@
     def stop(self):
         """Proxies first, so that what they still hold finds its nodes."""
         for kind in ("proxy", "load", "kitchen", "tenants", "directory", "release", "relay", "witness"):
-            some = [one for name, one in self.processes.items() if name.startswith(kind) and one.poll() is None]
+            some = [
+                one for name, one in self.processes.items() if name.startswith(kind) and one.poll() is None
+            ]
             for one in some:
                 one.send_signal(signal.SIGTERM)
             end = host.now() + 8000
--- a/gannetfront/day/strikes.py
+++ b/gannetfront/day/strikes.py
@@ -1,4 +1,5 @@
 """What a day does to its processes: proxies killed and begun anew, processes stopped and continued, also whoever holds a duty then."""
+
 import json
 import signal
 
@@ -16,14 +17,33 @@
         self.bounds()
         for trouble in self.day.troubles:
             at, span = self.played.begin + trouble.at - host.now(), trouble.until - trouble.at
-            if trouble.kind == "sever" or trouble.kind in ("vanish", "crash") and trouble.share == 1 and trouble.zone:
-                self.played.events.add(self.played.begin + trouble.at, "site struck", trouble.zone, str(self.played.begin + trouble.until))
+            if (
+                trouble.kind == "sever"
+                or trouble.kind in ("vanish", "crash")
+                and trouble.share == 1
+                and trouble.zone
+            ):
+                self.played.events.add(
+                    self.played.begin + trouble.at,
+                    "site struck",
+                    trouble.zone,
+                    str(self.played.begin + trouble.until),
+                )
             if trouble.kind == "slow_disk":
                 # For the judge: what a process killed now had not written yet, its disk may have kept from it.
-                self.played.events.add(self.played.begin + trouble.at, "disk slow", trouble.of,
-                                       f"{self.played.begin + trouble.until} {trouble.ms}")
+                self.played.events.add(
+                    self.played.begin + trouble.at,
+                    "disk slow",
+                    trouble.of,
+                    f"{self.played.begin + trouble.until} {trouble.ms}",
+                )
             elif trouble.kind == "stall" and trouble.who.startswith(HOLDER):
-                host.later(at, self.to_holder, trouble.who.removeprefix(HOLDER), lambda n, span=span: self.stall(f"proxy{n}", span))
+                host.later(
+                    at,
+                    self.to_holder,
+                    trouble.who.removeprefix(HOLDER),
+                    lambda n, span=span: self.stall(f"proxy{n}", span),
+                )
             elif trouble.kind == "stall":
                 for name in self.day.parties(trouble.who):
                     host.later(at, self.stall, name, span)
@@ -32,10 +52,20 @@
             elif trouble.kind == "holder_kill":
                 host.later(at, self.to_holder, trouble.duty, lambda n, span=span: self.kill(n, span))
             elif trouble.kind == "link":
-                self.played.events.add(self.played.begin + trouble.at, "link struck", trouble.src, str(self.played.begin + trouble.until))
+                self.played.events.add(
+                    self.played.begin + trouble.at,
+                    "link struck",
+                    trouble.src,
+                    str(self.played.begin + trouble.until),
+                )
                 for word in (trouble.src, trouble.dst):
                     if word.startswith(HOLDER):
-                        host.later(at, self.to_holder, word.removeprefix(HOLDER), lambda n, t=trouble: self.link(t, n))
+                        host.later(
+                            at,
+                            self.to_holder,
+                            word.removeprefix(HOLDER),
+                            lambda n, t=trouble: self.link(t, n),
+                        )
             elif trouble.kind == "balancer_roll":
                 struck = sorted(self.day.struck(trouble, self.day.proxies))
                 step = span / max(1, len(struck))
@@ -47,7 +77,12 @@
         if self.day.duties:
             d = self.day.duties
             # An elector that has just started is silent for a lease; then the lease of whoever won there; then settling.
-            self.played.events.add(self.played.begin, "duties", " ".join(self.day.held_by_one()), f"{5 * d['lease'] + 2 * d['settle'] + d['every'] + 2000}")
+            self.played.events.add(
+                self.played.begin,
+                "duties",
+                " ".join(self.day.held_by_one()),
+                f"{5 * d['lease'] + 2 * d['settle'] + d['every'] + 2000}",
+            )
 
     def holder(self, duty):
         """Its number, as it says itself; None where nobody does."""
@@ -73,7 +108,7 @@
     def kill(self, n, down):
         day, name = self.played, f"proxy{n}"
         if name in day.stopped:
-            return      # it is down already
+            return  # it is down already
         day.stopped.add(name)
         (day.folder / f"{name}.ready").unlink(missing_ok=True)
         day.processes[name].send_signal(signal.SIGKILL)
--- a/gannetfront/day/struck.py
+++ b/gannetfront/day/struck.py
@@ -4,6 +4,7 @@
 `set` in seconds. Only this process is touched: its calls to sync, rename and write take their time or fail, as they do on a disk that
 stands still or is full; its clock and its waits run at `rate`, its calendar is set by so much. The program knows nothing of it.
 """
+
 import errno
 import json
 import os
@@ -14,8 +15,14 @@
 
 from .. import host
 
-OF = dict(sync=("fdatasync", "fsync"), fdatasync=("fdatasync",), fsync=("fsync",), rename=("replace",),
-          all=("fdatasync", "fsync", "replace"), full=("fdatasync", "fsync", "write"))
+OF = dict(
+    sync=("fdatasync", "fsync"),
+    fdatasync=("fdatasync",),
+    fsync=("fsync",),
+    rename=("replace",),
+    all=("fdatasync", "fsync", "replace"),
+    full=("fdatasync", "fsync", "write"),
+)
 
 
 def held(rows, name, now):
@@ -43,6 +50,7 @@
             if span:
                 host.hold_up(span)
             return real(*fields, **named)
+
         setattr(os, name, call)
 
     class Connection(sqlite3.Connection):
@@ -67,7 +75,9 @@
     """(ms that a clock has gained over the machine's by `at`, its rate then, seconds that its calendar is set by)."""
     ahead, rate, calendar = 0.0, 1.0, 0.0
     for begin, until, fast, by in rows:
-        ahead += (fast - 1) * max(0.0, min(at, until) - begin)      # what it gained stays: no such clock steps back
+        ahead += (fast - 1) * max(
+            0.0, min(at, until) - begin
+        )  # what it gained stays: no such clock steps back
         if begin <= at < until:
             rate, calendar = fast, calendar + by
     return ahead, rate, calendar
--- a/gannetfront/day/witness.py
+++ b/gannetfront/day/witness.py
@@ -5,6 +5,7 @@
 one writes to the disk and waits for it, as the trails do; one reads how long the kernel kept each of the day's processes waiting for a
 core though they had something to do (schedstat; what a process spends on a core itself is not in it).
 """
+
 import json
 import os
 import sys
@@ -12,7 +13,11 @@
 from .. import host
 from ..records import Table
 
-EVERY, FELT, LOOK = 5.0, 5.0, 20.0      # ms: from one look to the next; how late is written down; between looks at the queues
+EVERY, FELT, LOOK = (
+    5.0,
+    5.0,
+    20.0,
+)  # ms: from one look to the next; how late is written down; between looks at the queues
 
 
 def waited(pid):
@@ -45,7 +50,7 @@
             try:
                 os.sched_setaffinity(0, {int(core)})
             except OSError:
-                pass    # not a core of ours: it watches from wherever it is put
+                pass  # not a core of ours: it watches from wherever it is put
 
     def look(self):
         before = host.now()
@@ -70,7 +75,13 @@
 
 def main(folder, what):
     events, done = Table(folder, "events", f"witness{what}"), host.Once()
-    one = Disk(folder, events) if what == "disk" else Queue(folder, events) if what == "queue" else Clock(what, events)
+    one = (
+        Disk(folder, events)
+        if what == "disk"
+        else Queue(folder, events)
+        if what == "queue"
+        else Clock(what, events)
+    )
     host.on_signal(("SIGTERM", "SIGINT"), done.set)
     while not done.ready():
         one.look()
--- a/gannetfront/duties/acts.py
+++ b/gannetfront/duties/acts.py
@@ -7,10 +7,11 @@
 
 Work in steps: they rise at each place, and each is done once, whoever holds; one that was done already is said to be so.
 """
+
 from .lease import Fence, surely
 
-PATIENCE = 200.0        # ms
-DOORS = 64              # open at a time; the oldest is closed for one more
+PATIENCE = 200.0  # ms
+DOORS = 64  # open at a time; the oldest is closed for one more
 
 
 class Gate:
@@ -23,7 +24,7 @@
     def enter(self, now):
         """(nonce, highest token, last step done)."""
         self.nonce += 1
-        self.doors = dict([*self.doors.items()][1 - DOORS:]) if len(self.doors) >= DOORS else self.doors
+        self.doors = dict([*self.doors.items()][1 - DOORS :]) if len(self.doors) >= DOORS else self.doors
         self.doors[self.nonce] = now
         return self.nonce, self.fence.highest, self.step
 
@@ -42,7 +43,7 @@
         if self.busy:
             return "refused", "busy"
         if step < self.step:
-            return "refused", "order"       # a place that was away for some rounds does the newest only
+            return "refused", "order"  # a place that was away for some rounds does the newest only
         self.busy = True
         return "do", ""
 
@@ -77,7 +78,7 @@
         """(place, step) to be done now, or None. `asked` are the places that cannot be reached: passed over, not waited for."""
         step, able = self.step(), [p for p in self.places if p not in asked]
         if any(p not in self.known for p in able):
-            return None         # who holds anew first hears how far each is
+            return None  # who holds anew first hears how far each is
         behind = [p for p in able if self.known[p] < step]
         if behind:
             self.ended = None
--- a/gannetfront/duties/explorer.py
+++ b/gannetfront/duties/explorer.py
@@ -4,19 +4,41 @@
 again. In each it must hold that at most one candidate holds by its own clock, and that tokens of holders that followed one another
 rise. Found or not, it says how many states it saw; a breach comes with the shortest way there (breadth first).
 """
+
 from collections import deque
 
 from .lease import Candidate, Elector
 
-STEP = 2.0          # ms of real time that an advance takes
+STEP = 2.0  # ms of real time that an advance takes
 
 
 class Bounds:
     """How often each kind of trouble may come on one way: `late` messages wait for any moment, while those that are not are
     exchanged, question and answer, before time goes on."""
 
-    def __init__(self, losses=1, late=1, doubles=0, elector_restarts=1, candidate_restarts=0, stalls=0, cuts=0, advances=8, hands=0):
-        self.left = (losses, late, doubles, elector_restarts, candidate_restarts, stalls, cuts, advances, hands)
+    def __init__(
+        self,
+        losses=1,
+        late=1,
+        doubles=0,
+        elector_restarts=1,
+        candidate_restarts=0,
+        stalls=0,
+        cuts=0,
+        advances=8,
+        hands=0,
+    ):
+        self.left = (
+            losses,
+            late,
+            doubles,
+            elector_restarts,
+            candidate_restarts,
+            stalls,
+            cuts,
+            advances,
+            hands,
+        )
 
 
 class Same:
@@ -34,7 +56,7 @@
         self.world, self.me = world, me
 
     def send(self, elector, message):
-        self.world.fresh += (self.me, elector, message),
+        self.world.fresh += ((self.me, elector, message),)
 
     def gained(self, token):
         if token < self.world.highest:
@@ -54,8 +76,18 @@
         self.names = [n for n in rates if isinstance(n, str)]
         # Electors that have long been there: their silence after a start is over.
         self.electors = {n: elector(-10 * span, span, rate) for n in self.names}
-        self.candidates = {n: candidate(n, 0, self.names, span, rate, Same(0.25 * n), 0.0) for n in rates if n not in self.names}
-        self.fresh, self.late, self.left, self.stalled, self.cut = (), (), bounds.left, frozenset(), frozenset()
+        self.candidates = {
+            n: candidate(n, 0, self.names, span, rate, Same(0.25 * n), 0.0)
+            for n in rates
+            if n not in self.names
+        }
+        self.fresh, self.late, self.left, self.stalled, self.cut = (
+            (),
+            (),
+            bounds.left,
+            frozenset(),
+            frozenset(),
+        )
         self.highest, self.fell = (0, -1, 0), None
 
     def clock(self, name):
@@ -70,10 +102,28 @@
 
     def key(self):
         """Electors of one clock are each other's like: worlds that differ by their names only are one."""
-        of = lambda name: tuple(sorted(repr((kind, s if t == name else t, s == name, m)) for kind, some in (("f", self.fresh), ("l", self.late))
-                                       for s, t, m in some if name in (s, t)))
-        return (self.now, self.left, self.stalled, self.cut, self.highest, tuple(picture(x) for x in self.candidates.values()), tuple(sorted(
-            repr((picture(x), of(n), [c.said.get(n) for c in self.candidates.values()])) for n, x in self.electors.items())))
+        of = lambda name: tuple(
+            sorted(
+                repr((kind, s if t == name else t, s == name, m))
+                for kind, some in (("f", self.fresh), ("l", self.late))
+                for s, t, m in some
+                if name in (s, t)
+            )
+        )
+        return (
+            self.now,
+            self.left,
+            self.stalled,
+            self.cut,
+            self.highest,
+            tuple(picture(x) for x in self.candidates.values()),
+            tuple(
+                sorted(
+                    repr((picture(x), of(n), [c.said.get(n) for c in self.candidates.values()]))
+                    for n, x in self.electors.items()
+                )
+            ),
+        )
 
     def spend(self, which):
         self.left = tuple(n - (at == which) for at, n in enumerate(self.left))
@@ -108,7 +158,9 @@
                 if name not in self.cut:
                     yield f"cut off {name}", self.after(self.cut_off, name)
         for name, one in self.candidates.items():
-            for to in self.candidates if hands and name not in self.stalled and one.holds(self.clock(name)) else ():
+            for to in (
+                self.candidates if hands and name not in self.stalled and one.holds(self.clock(name)) else ()
+            ):
                 if to != name:
                     yield f"{name} hands over to {to}", self.after(self.hand, name, to)
         for name in sorted(self.cut):
@@ -132,7 +184,7 @@
             return self.told(source, target, message)
         if "late" in how or "double" in how:
             self.spend(1 if "late" in how else 2)
-            self.late += one,
+            self.late += (one,)
         if "late" in how:
             return
         if target in self.candidates:
@@ -142,13 +194,13 @@
             self.spend(0)
         elif answer and "answer late" in how:
             self.spend(1)
-            self.late += (target, source, answer),
+            self.late += ((target, source, answer),)
         elif answer:
             self.told(target, source, answer)
 
     def told(self, source, target, answer):
-        if target in self.stalled:      # it waits to be read
-            self.late += (source, target, answer),
+        if target in self.stalled:  # it waits to be read
+            self.late += ((source, target, answer),)
         elif answer[0] == "over":
             self.candidates[target].over(self.clock(target), answer[1])
         else:
@@ -169,7 +221,7 @@
         self.spend(8)
         token = self.candidates[name].token
         self.candidates[name].let_go(self.clock(name), "handed over", Out(self, name))
-        self.fresh += (name, to, ("over", token)),
+        self.fresh += ((name, to, ("over", token)),)
 
     def restart(self, name):
         self.spend(3)
@@ -178,7 +230,9 @@
     def be_reborn(self, name):
         self.spend(4)
         old = self.candidates[name]
-        self.candidates[name] = self.kinds[1](name, old.life + 1, self.names, self.span, self.rate, old.chance, self.clock(name))
+        self.candidates[name] = self.kinds[1](
+            name, old.life + 1, self.names, self.span, self.rate, old.chance, self.clock(name)
+        )
 
     def stall(self, name):
         self.spend(5)
@@ -221,7 +275,7 @@
 
 def without(some, one):
     at = some.index(one)
-    return some[:at] + some[at + 1:]
+    return some[:at] + some[at + 1 :]
 
 
 def clone(one):
@@ -233,14 +287,29 @@
 
 
 def picture(one):
-    return tuple((n, v) for n, v in sorted(one.__dict__.items())
-                 if n not in ("chance", "electors", "sets", "seen", "behind", "why", "generation", "said"))
-
-
-def explore(kinds=(Elector, Candidate), candidates=2, electors=3, span=10.0, rate=0.1, bounds=None, most=10**6, extremes=True, held=False):
+    return tuple(
+        (n, v)
+        for n, v in sorted(one.__dict__.items())
+        if n not in ("chance", "electors", "sets", "seen", "behind", "why", "generation", "said")
+    )
+
+
+def explore(
+    kinds=(Elector, Candidate),
+    candidates=2,
+    electors=3,
+    span=10.0,
+    rate=0.1,
+    bounds=None,
+    most=10**6,
+    extremes=True,
+    held=False,
+):
     """(states seen, breach or None, [steps to it], whether all within the bounds was seen). `held`: from candidate 0 holding on."""
     slow, fast = (1 - rate, 1 + rate) if extremes else (1.0, 1.0)
-    rates = {f"e{n}": fast for n in range(electors)} | {n: slow if n == 0 else fast for n in range(candidates)}
+    rates = {f"e{n}": fast for n in range(electors)} | {
+        n: slow if n == 0 else fast for n in range(candidates)
+    }
     first = World(kinds, rates, span, rate, bounds or Bounds())
     if held:
         first.calm()
--- a/gannetfront/duties/lease.py
+++ b/gannetfront/duties/lease.py
@@ -17,9 +17,11 @@
 accepted(ballot) · refused(ballot, highest round, token, ms left).
 """
 
-
-GENERATION = 2 ** 32        # rounds of one generation of electors
-PRESSED, OUTDATED = 3, 10    # tries on end of who was handed it; spans between tries of one whose settings are behind
+GENERATION = 2**32  # rounds of one generation of electors
+PRESSED, OUTDATED = (
+    3,
+    10,
+)  # tries on end of who was handed it; spans between tries of one whose settings are behind
 
 
 def surely(span, rate):
@@ -37,7 +39,7 @@
 
     def __init__(self, now, longest, rate):
         self.rate, self.longest, self.quiet_until = rate, longest, now + surely(longest, rate)
-        self.promised, self.highest, self.accepted = (0, -1, 0), 0, None     # accepted: (number, token, end)
+        self.promised, self.highest, self.accepted = (0, -1, 0), 0, None  # accepted: (number, token, end)
 
     def hear(self, now, source, message):
         """The answer, or None."""
@@ -71,14 +73,17 @@
 
     def __init__(self, me, life, electors, span, rate, chance, now, wants=True, before=(), generation=0):
         self.me, self.life, self.span, self.rate = me, life, span, rate
-        self.electors, self.sets = tuple(dict.fromkeys((*electors, *before))), [s for s in (tuple(electors), tuple(before)) if s]
+        self.electors, self.sets = (
+            tuple(dict.fromkeys((*electors, *before))),
+            [s for s in (tuple(electors), tuple(before)) if s],
+        )
         self.chance, self.wants, self.round, self.ended = chance, wants, generation * GENERATION, None
         self.generation, self.outdated = generation, False
         self.ballot, self.phase, self.said, self.begun = None, None, {}, now
         self.token, self.until, self.next_try, self.why, self.failed = None, now, now, "never held", 0
-        self.behind = 0.0       # ms that it leaves others a start, before it tries for what may be free
-        self.pressed = 0        # tries yet that follow one another at once
-        self.seen = None        # the token of whom electors last told that it holds
+        self.behind = 0.0  # ms that it leaves others a start, before it tries for what may be free
+        self.pressed = 0  # tries yet that follow one another at once
+        self.seen = None  # the token of whom electors last told that it holds
 
     def holds(self, now):
         """The token while it holds, else None. To be asked right before each act, and not relied on after."""
@@ -105,7 +110,11 @@
         # Spread, wider with each try that led to nothing though nobody held (`more` is what another's lease has left): thirty
         # that wake together must not undo each other's ballots for ever. Soon for who holds.
         self.phase, self.failed = None, 0 if more else min(self.failed + 1, 5)
-        self.next_try = now + more + self.chance.random() * self.wait() * (0.5 if self.token or more else 0.25 * 2.0 ** self.failed)
+        self.next_try = (
+            now
+            + more
+            + self.chance.random() * self.wait() * (0.5 if self.token or more else 0.25 * 2.0**self.failed)
+        )
         if self.token is None:
             self.next_try += self.behind
         if self.pressed and not more:
@@ -154,12 +163,14 @@
         if token:
             self.learn(token[0])
         # One's own lease is open to oneself, but an earlier life's is another's; so is one whose holder said that it has ended.
-        self.said[elector] = 0.0 if token is None or token[1:] == (self.me, self.life) or token == self.ended else left
+        self.said[elector] = (
+            0.0 if token is None or token[1:] == (self.me, self.life) or token == self.ended else left
+        )
         if self.said[elector] > 0:
             self.seen = token
         if self.enough([e for e, left in self.said.items() if left <= 0]):
             token = self.holds(now) or self.ballot
-            self.phase, self.said, self.begun = "propose", {}, now      # counted from here: before anyone accepts
+            self.phase, self.said, self.begun = "propose", {}, now  # counted from here: before anyone accepts
             self.proposed = token
             for elector in self.electors:
                 out.send(elector, ("propose", self.ballot, token, self.span))
--- a/gannetfront/duties/orders.py
+++ b/gannetfront/duties/orders.py
@@ -1,4 +1,5 @@
 """An operator's order to a proxy, by the address of its duties' streams."""
+
 from .. import host
 from ..wire import control_pb2 as c, frames
 
--- a/gannetfront/duties/post.py
+++ b/gannetfront/duties/post.py
@@ -7,17 +7,18 @@
 Handing on is two words: the holder lets go, then tells a successor of its choice that its token is over, with the state of the work.
 The successor need not wait for the lease's end, as its holder itself said so; does the word get lost, the electors know of the end.
 """
+
 from math import ceil
 
 import xxhash
 
 from .lease import Candidate, Elector
 
-FIRST = 5               # so many stand ready; the next so many ask half as often, and so on
-KEPT_OFF = 2.0          # spans for which one that gave the duty away does not want it back
-AGAIN = 5.0             # spans in which a holder has told everyone once more that it holds
-STATE, WHY = 64, 60     # bytes, characters
-BUSY = 0.5              # spans that a proxy waits longer where all its room is taken
+FIRST = 5  # so many stand ready; the next so many ask half as often, and so on
+KEPT_OFF = 2.0  # spans for which one that gave the duty away does not want it back
+AGAIN = 5.0  # spans in which a holder has told everyone once more that it holds
+STATE, WHY = 64, 60  # bytes, characters
+BUSY = 0.5  # spans that a proxy waits longer where all its room is taken
 TO_ELECTOR = "prepare", "propose", "release"
 
 
@@ -25,14 +26,37 @@
     """`mates` is {number: zone}, this one among them. `out` gets send(number, message) · gained(token, state) · lost(token, why) ·
     heard(token): somebody holds. `zones` are the preferred ones; the rest is as in lease.py. Times are ms of its own clock."""
 
-    def __init__(self, name, me, life, mates, electors, span, rate, chance, now, before=(), generation=0, zones=(), settle=0.0):
+    def __init__(
+        self,
+        name,
+        me,
+        life,
+        mates,
+        electors,
+        span,
+        rate,
+        chance,
+        now,
+        before=(),
+        generation=0,
+        zones=(),
+        settle=0.0,
+    ):
         self.name, self.me, self.mates, self.span, self.settled_at = name, me, mates, span, now + settle
-        self.candidate = Candidate(me, life, electors, span, rate, chance, now, before=before, generation=generation)
+        self.candidate = Candidate(
+            me, life, electors, span, rate, chance, now, before=before, generation=generation
+        )
         self.candidate.wants = False
         # At each proxy, whoever its own settings name: while electors are changed one proxy after the other, the first with the new
         # settings already asks those that do not know yet that they are to be electors; without them nobody could win.
         self.elector = Elector(now, span, rate)
-        self.order = sorted(mates, key=lambda n: (bool(zones) and mates[n] not in zones, xxhash.xxh32(f"{name} {n}".encode()).intdigest()))
+        self.order = sorted(
+            mates,
+            key=lambda n: (
+                bool(zones) and mates[n] not in zones,
+                xxhash.xxh32(f"{name} {n}".encode()).intdigest(),
+            ),
+        )
         self.state, self.since, self.last, self.holder = b"", None, "none held it yet", None
         self.handed, self.seen_at = None, now
         self.kept_off, self.leaving, self.way, self.events = now, False, [], []
@@ -52,7 +76,11 @@
     # ---- in ----
 
     def due_at(self):
-        due = self.candidate.due_at() if self.candidate.wants or self.candidate.token or self.candidate.phase else self.wants_at()
+        due = (
+            self.candidate.due_at()
+            if self.candidate.wants or self.candidate.token or self.candidate.phase
+            else self.wants_at()
+        )
         return min(due, self.told_at) if self.to_tell else due
 
     def wants_at(self):
@@ -91,7 +119,12 @@
         elif kind == "over":
             # Only of its own token can a proxy say so.
             if message[1][1] == source and not self.leaving and self.candidate.over(now, message[1]):
-                self.handed, self.state, self.candidate.wants, self.kept_off = f"handed on by {source}: {message[3]}", message[2], True, now
+                self.handed, self.state, self.candidate.wants, self.kept_off = (
+                    f"handed on by {source}: {message[3]}",
+                    message[2],
+                    True,
+                    now,
+                )
                 self.candidate.tick(now, self)
         elif source in self.candidate.electors:
             self.candidate.hear(now, source, message, self)
@@ -106,7 +139,10 @@
         if self.holder is None or token >= self.holder:
             self.holder, self.seen_at = token, now
             if token[1] != self.me:
-                self.handed, self.state = None, b""     # another was there before this one, if it was handed on to it
+                self.handed, self.state = (
+                    None,
+                    b"",
+                )  # another was there before this one, if it was handed on to it
 
     def refused(self, now, token, out):
         """Whoever was acted upon knows of a higher token than this one's."""
@@ -126,7 +162,13 @@
         events, self.events = self.events, []
         for what, token, fact in events:
             if what == "gained":
-                self.holder, self.since, self.seen_at, self.last, self.handed = token, now, now, self.handed or "taken as it was free", None
+                self.holder, self.since, self.seen_at, self.last, self.handed = (
+                    token,
+                    now,
+                    now,
+                    self.handed or "taken as it was free",
+                    None,
+                )
                 self.to_tell, self.told_at = [n for n in self.mates if n != self.me], now
                 self.tell_some(now, len(self.to_tell))
                 out.gained(token, fact)
@@ -175,8 +217,17 @@
 
     def status(self, now):
         token, left = self.candidate.holds(now), self.candidate.until - now
-        return dict(duty=self.name, holder=self.holder and self.holder[1], token=self.holder and list(self.holder), here=token is not None,
-                    seen_ms=0 if token else round(now - self.seen_at), outdated=self.candidate.outdated,
-                    since_ms=round(now - self.since) if self.since is not None else None, left_ms=round(left) if token else None,
-                    last=self.last, electors=list(self.candidate.electors), elector=self.me in self.candidate.electors,
-                    wants=self.candidate.wants)
+        return dict(
+            duty=self.name,
+            holder=self.holder and self.holder[1],
+            token=self.holder and list(self.holder),
+            here=token is not None,
+            seen_ms=0 if token else round(now - self.seen_at),
+            outdated=self.candidate.outdated,
+            since_ms=round(now - self.since) if self.since is not None else None,
+            left_ms=round(left) if token else None,
+            last=self.last,
+            electors=list(self.candidate.electors),
+            elector=self.me in self.candidate.electors,
+            wants=self.candidate.wants,
+        )
--- a/gannetfront/duties/returning.py
+++ b/gannetfront/duties/returning.py
@@ -5,13 +5,17 @@
 not see or does not know yet. Whoever follows goes there by steps of its own. Orders of operators (hold, return) are told with each step, and taken up by whoever follows from its own place. Nobody holds
 it: each proxy goes up its own slower ramp.
 """
+
 from .. import host
 from ..sites.stand import FORCED, HELD_DOWN, NO_WORD
 from ..wire import frames
 from .shell import Duty, Lost
 
-BITS, SITES = 3, 8      # of a site in a step; sites that a step has room for
-DONE, TOLD = 1000.0, 8000.0     # ms for a proxy's word that it has heard; for an operator's order to have been told to all
+BITS, SITES = 3, 8  # of a site in a step; sites that a step has room for
+DONE, TOLD = (
+    1000.0,
+    8000.0,
+)  # ms for a proxy's word that it has heard; for an operator's order to have been told to all
 ORDERS = dict(hold=HELD_DOWN, go=FORCED, free=NO_WORD)
 
 
@@ -34,7 +38,10 @@
     def __init__(self, d, sites, file, log):
         """`sites` is this proxy's AtProxy, whose plan is acted upon; `file` keeps the last token over a restart."""
         self.every, self.sites, self.log, self.file, self.token = d.every, sites, log, file, None
-        self.names, self.wishes = list(sites.stand.zones), []       # [(site, order, told whether it reached all that are there)]
+        self.names, self.wishes = (
+            list(sites.stand.zones),
+            [],
+        )  # [(site, order, told whether it reached all that are there)]
 
     def before(self):
         step, self.token = self.kept(self.file)
@@ -42,9 +49,18 @@
 
     def told(self):
         stand, zones = self.sites.stand, self.sites.zones.zones
-        return dict(sites={name: dict(state=zones[name].state, evidence=zones[name].evidence, weight=stand.weights[name],
-                                      held_down=stand.zones[name].order == HELD_DOWN) for name in self.names},
-                    refused=self.sites.shares())
+        return dict(
+            sites={
+                name: dict(
+                    state=zones[name].state,
+                    evidence=zones[name].evidence,
+                    weight=stand.weights[name],
+                    held_down=stand.zones[name].order == HELD_DOWN,
+                )
+                for name in self.names
+            },
+            refused=self.sites.shares(),
+        )
 
     # ---- held ----
 
@@ -85,8 +101,16 @@
             except Lost:
                 lost.append(place)
             except (OSError, host.Refused, host.Timeout, frames.BadFrame) as trouble:
-                self.log.info("not reached", duty=self.name, place=place, why=str(trouble)[:100] or type(trouble).__name__)
-        host.join([host.spawn(visit, place) for place in sorted(held.others() & set(held.shell.streams))], 3 * DONE)
+                self.log.info(
+                    "not reached",
+                    duty=self.name,
+                    place=place,
+                    why=str(trouble)[:100] or type(trouble).__name__,
+                )
+
+        host.join(
+            [host.spawn(visit, place) for place in sorted(held.others() & set(held.shell.streams))], 3 * DONE
+        )
         if lost:
             raise Lost()
         return found
--- a/gannetfront/duties/seal.py
+++ b/gannetfront/duties/seal.py
@@ -3,13 +3,17 @@
 A round is a step. Each proxy writes down, beside its trail, the last step that it has done and under which token: a proxy that starts
 anew refuses what it refused before. A holder keeps nothing: how far each proxy is, it hears from them.
 """
+
 from .. import host
 from ..trail import sealed
 from ..wire import frames
 from .acts import Rounds
 from .shell import Duty
 
-LOOK, DONE = 200.0, 600000.0        # ms: between looks; for one proxy's sealing, as long as it says that it is there
+LOOK, DONE = (
+    200.0,
+    600000.0,
+)  # ms: between looks; for one proxy's sealing, as long as it says that it is there
 
 
 class Sealing(Duty):
@@ -17,7 +21,13 @@
 
     def __init__(self, d, trail, log):
         """`trail` is this proxy's, or None: there is nothing to seal, and a step is done with that."""
-        self.every, self.trail, self.log, self.least, self.most_kept = d.every, trail, log, d.seal_from, d.seal_keep or None
+        self.every, self.trail, self.log, self.least, self.most_kept = (
+            d.every,
+            trail,
+            log,
+            d.seal_from,
+            d.seal_keep or None,
+        )
         self.file, self.rounds = trail and f"{trail.folder}/sealed.step", None
 
     def before(self):
@@ -60,7 +70,9 @@
         except (OSError, host.Refused, host.Timeout, frames.BadFrame) as trouble:
             away[place] = host.now()
             rounds.known.pop(place, None)
-            self.log.info("not reached", duty=self.name, place=place, why=str(trouble)[:100] or type(trouble).__name__)
+            self.log.info(
+                "not reached", duty=self.name, place=place, why=str(trouble)[:100] or type(trouble).__name__
+            )
 
     # ---- acted upon ----
 
@@ -73,5 +85,5 @@
 
     def seal(self):
         if self.trail.file.size > self.least:
-            self.trail.closes = True        # the segment that grows ends with its next write
+            self.trail.closes = True  # the segment that grows ends with its next write
         return sealed.seal(self.trail.folder, self.most_kept)
--- a/gannetfront/duties/shell.py
+++ b/gannetfront/duties/shell.py
@@ -3,6 +3,7 @@
 A duty's own file (seal.py, tenants.py) says what is done while it is held, what state is handed on, and what it does where it is acted
 upon: `work(held)` in a greenlet that ends with the duty, `act(step, token)` at whoever is acted upon, and what of Duty is not as there.
 """
+
 import json
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
@@ -13,14 +14,18 @@
 from .lease import surely
 from .post import Post
 
-ASK, LOOK = 1000.0, 100.0       # ms: for a word of another proxy; between a holder's looks at whether it may act
-SILENT, THERE = 1000.0, 250.0   # ms: a place that says nothing for so long is not waited for; how often one that works says it is there
+ASK, LOOK = 1000.0, 100.0  # ms: for a word of another proxy; between a holder's looks at whether it may act
+SILENT, THERE = (
+    1000.0,
+    250.0,
+)  # ms: a place that says nothing for so long is not waited for; how often one that works says it is there
 STREAMS = 4096
 
 
 class Duty:
     """What most duties have in common."""
-    ORDERS = ()         # verbs of operators that it understands beside those of all
+
+    ORDERS = ()  # verbs of operators that it understands beside those of all
 
     def before(self):
         """(last step done here, token) from before a restart; raises ValueError for a file that says neither."""
@@ -54,7 +59,9 @@
             step, token = json.loads(data)
             return int(step), tuple(map(int, token))
         except (ValueError, TypeError):
-            raise ValueError(f"{path}: not the last step of duty {self.name}: move it away to begin anew") from None
+            raise ValueError(
+                f"{path}: not the last step of duty {self.name}: move it away to begin anew"
+            ) from None
 
     @staticmethod
     def keep(path, step, token, limit=None):
@@ -130,7 +137,7 @@
         name, done = self.word(limit, act=c.Act(nonce=self.nonce, token=self.held.token, step=step))
         if name != "done":
             raise frames.BadFrame(f"a {name} for an act's end")
-        doors.pop(self, None)       # it is known what became of it
+        doors.pop(self, None)  # it is known what became of it
         if tuple(done.token) > self.held.token:
             self.held.refused(tuple(done.token))
         self.step = done.step
@@ -145,17 +152,34 @@
         """`made` is {name: a duty of its own file}; `busy()` how much of this proxy's room is taken; `acted(duty, token, step, how, why, at)`
         is told of each act that this proxy was asked for, and when by the machine's clock. Raises ValueError."""
         self.log, self.me, self.members, self.made, self.busy = log, mine.me, membership, made, busy
-        self.acted, self.stopping, self.wake, self.jobs = acted or (lambda *x: None), False, host.Mailbox(1), {}
-        self.doors = {}         # duty -> {a visit: until when an act that it sent may still be let happen}
+        self.acted, self.stopping, self.wake, self.jobs = (
+            acted or (lambda *x: None),
+            False,
+            host.Mailbox(1),
+            {},
+        )
+        self.doors = {}  # duty -> {a visit: until when an act that it sent may still be let happen}
         self.streams = {mate.number: mate.duties for mate in mine.mate}
         for mate in mine.mate:
             host.address(mate.duties)
-        zones, life = {m.number: m.zone for m in mine.mate}, int(chance.random() * 2 ** 31)
+        zones, life = {m.number: m.zone for m in mine.mate}, int(chance.random() * 2**31)
         self.posts, self.outs, self.gates, self.rates, self.counts = {}, {}, {}, {}, {}
         for d in mine.duty:
-            self.posts[d.name] = Post(d.name, mine.me, life, zones, tuple(d.elector), d.lease, d.clock_rate,
-                                      host.Jitter(int(chance.random() * 2 ** 53)), host.now(), tuple(d.elector_before), d.generation,
-                                      tuple(d.prefer), d.settle)
+            self.posts[d.name] = Post(
+                d.name,
+                mine.me,
+                life,
+                zones,
+                tuple(d.elector),
+                d.lease,
+                d.clock_rate,
+                host.Jitter(int(chance.random() * 2**53)),
+                host.now(),
+                tuple(d.elector_before),
+                d.generation,
+                tuple(d.prefer),
+                d.settle,
+            )
             self.outs[d.name], self.rates[d.name] = Out(self, d.name), d.clock_rate
             self.gates[d.name] = Gate(*made[d.name].before())
             self.counts[d.name] = dict(held=0, lost=0, refused=0, done=0)
@@ -193,7 +217,9 @@
         if name in self.jobs:
             # It was over for a moment, before anybody looked, and a late word renewed it: its work must not run twice.
             host.stop(self.jobs.pop(name))
-        self.jobs[name] = host.spawn(self.work, name, Held(self, self.posts[name], token, self.rates[name], state))
+        self.jobs[name] = host.spawn(
+            self.work, name, Held(self, self.posts[name], token, self.rates[name], state)
+        )
 
     def lost(self, name, token, why):
         self.counts[name]["lost"] += 1
@@ -238,7 +264,9 @@
                 pass
             except Exception as trouble:
                 # Whatever it is: one that held on with its work ended would leave the duty undone for as long as it lives.
-                self.log.error("duty's work broke", duty=name, why=str(trouble)[:200] or type(trouble).__name__)
+                self.log.error(
+                    "duty's work broke", duty=name, why=str(trouble)[:200] or type(trouble).__name__
+                )
             host.sleep(LOOK)
 
     # ---- streams ----
@@ -253,7 +281,9 @@
                 for name, message in reader.feed(data):
                     if name == "hello":
                         return self.to_holder(stream, reader, message)
-                    answer = {"enter": self.entered, "act": self.act, "duty_order": self.ordered}.get(name, self.unknown)(stream, message)
+                    answer = {"enter": self.entered, "act": self.act, "duty_order": self.ordered}.get(
+                        name, self.unknown
+                    )(stream, message)
                     stream.send(frames.pack(**answer), ASK)
         except (OSError, host.Timeout, frames.BadFrame) as trouble:
             self.log.info("duty stream broke", why=str(trouble) or "silent")
@@ -265,10 +295,18 @@
 
     def to_holder(self, stream, reader, message):
         post = self.posts.get(message.duty)
-        if post and post.candidate.holds(host.now()) and message.duty in self.jobs and self.made[message.duty].serve(stream, reader, message):
+        if (
+            post
+            and post.candidate.holds(host.now())
+            and message.duty in self.jobs
+            and self.made[message.duty].serve(stream, reader, message)
+        ):
             return
         holder = post.holder[1] if post and post.holder else None
-        stream.send(frames.pack(refusal=c.Refusal(why="not held here" if holder is None else f"held by {holder}")), ASK)
+        stream.send(
+            frames.pack(refusal=c.Refusal(why="not held here" if holder is None else f"held by {holder}")),
+            ASK,
+        )
 
     def entered(self, stream, message):
         if message.duty not in self.gates:
@@ -298,8 +336,12 @@
         self.counts[name]["done" if how == "done" else "refused"] += how != "again"
         self.acted(name, token, message.step, how, why, at)
         if how == "refused":
-            self.log.warning("act refused", duty=name, token=token, highest=gate.fence.highest, step=message.step, why=why)
-        return dict(done=c.Done(how=how, why=why, token=[max(0, n) for n in gate.fence.highest], step=gate.step))
+            self.log.warning(
+                "act refused", duty=name, token=token, highest=gate.fence.highest, step=message.step, why=why
+            )
+        return dict(
+            done=c.Done(how=how, why=why, token=[max(0, n) for n in gate.fence.highest], step=gate.step)
+        )
 
     @staticmethod
     def working(stream, call, *fields):
@@ -313,7 +355,8 @@
                     stream.send(frames.pack(alive=c.Alive()), ASK)
                     host.sleep(THERE)
             except (OSError, host.Timeout):
-                pass        # the holder went: what was begun is done all the same
+                pass  # the holder went: what was begun is done all the same
+
         host.spawn(tell)
         try:
             return call(*fields)
@@ -325,14 +368,32 @@
     def ordered(self, stream, message):
         now = host.now()
         if message.verb == "status":
-            return dict(duty_told=c.DutyTold(fine=True, text=json.dumps(
-                dict(proxy=self.me, alive=sorted(self.alive()), duties=[{**p.status(now), **self.made[n].told()} for n, p in self.posts.items()]))))
+            return dict(
+                duty_told=c.DutyTold(
+                    fine=True,
+                    text=json.dumps(
+                        dict(
+                            proxy=self.me,
+                            alive=sorted(self.alive()),
+                            duties=[{**p.status(now), **self.made[n].told()} for n, p in self.posts.items()],
+                        )
+                    ),
+                )
+            )
         post = self.posts.get(message.duty)
         if post is None or message.verb not in ("hand", "release", *self.made[message.duty].ORDERS):
-            return dict(duty_told=c.DutyTold(fine=False, text=f"no duty '{message.duty}', or no such order: {message.verb}"))
+            return dict(
+                duty_told=c.DutyTold(
+                    fine=False, text=f"no duty '{message.duty}', or no such order: {message.verb}"
+                )
+            )
         if post.candidate.holds(now) is None:
             holder = post.holder and post.holder[1]
-            return dict(duty_told=c.DutyTold(fine=False, text=json.dumps(dict(holder=holder, at=self.streams.get(holder)))))
+            return dict(
+                duty_told=c.DutyTold(
+                    fine=False, text=json.dumps(dict(holder=holder, at=self.streams.get(holder)))
+                )
+            )
         if message.verb in self.made[message.duty].ORDERS:
             fine, text = self.made[message.duty].order(message.verb, message.about)
             return dict(duty_told=c.DutyTold(fine=fine, text=text))
@@ -346,12 +407,22 @@
 
     def metrics(self):
         now = host.now()
-        gauges = [GaugeMetricFamily("gannet_duty_" + name, what, labels=("duty",)) for name, what in (
-            ("held", "1 where this proxy holds it"), ("round", "round of the highest token heard of"), ("step", "last step done here"))]
-        events = CounterMetricFamily("gannet_duty_events", "times held and lost, acts done and refused here", labels=("duty", "what"))
+        gauges = [
+            GaugeMetricFamily("gannet_duty_" + name, what, labels=("duty",))
+            for name, what in (
+                ("held", "1 where this proxy holds it"),
+                ("round", "round of the highest token heard of"),
+                ("step", "last step done here"),
+            )
+        ]
+        events = CounterMetricFamily(
+            "gannet_duty_events", "times held and lost, acts done and refused here", labels=("duty", "what")
+        )
         for name, post in self.posts.items():
             gate = self.gates[name]
-            for gauge, value in zip(gauges, (post.candidate.holds(now) is not None, gate.fence.highest[0], gate.step)):
+            for gauge, value in zip(
+                gauges, (post.candidate.holds(now) is not None, gate.fence.highest[0], gate.step)
+            ):
                 gauge.add_metric((name,), value)
             for what, count in self.counts[name].items():
                 events.add_metric((name, what), count)
--- a/gannetfront/duties/tenants.py
+++ b/gannetfront/duties/tenants.py
@@ -4,6 +4,7 @@
 had itself seen before may be older than what others hold; so it gives out nothing until the directory has answered it, and where a
 proxy comes that holds a later epoch, the duty is let go and taken anew above it. Without a holder all serve by the view they hold.
 """
+
 from .. import host
 from ..tenants.reader import Reader
 from ..tenants.views import View
@@ -18,7 +19,14 @@
 
     def __init__(self, d, link, streams, log, chance):
         """`d` is a checked Directory; `link` this proxy's own Tenants, which is told where the holder is; `streams` {number: address}."""
-        self.d, self.link, self.streams, self.log, self.chance, self.reader = d, link, streams, log, chance, None
+        self.d, self.link, self.streams, self.log, self.chance, self.reader = (
+            d,
+            link,
+            streams,
+            log,
+            chance,
+            None,
+        )
 
     def hint(self, holder):
         if holder in self.streams:
@@ -37,6 +45,7 @@
                 # Somebody held it whom the electors have forgotten.
                 self.log.warning("a later view is held by a proxy", theirs=theirs, ours=epoch)
                 held.shell.refused(self.name, (token_of(theirs)[0] + 1, 0, 0))
+
         reader.ahead = ahead
         inside = [host.spawn(reader.run), host.spawn(reader.watch)]
         self.reader = reader
--- a/gannetfront/duties/tokens.py
+++ b/gannetfront/duties/tokens.py
@@ -1,8 +1,9 @@
 """A token as the epoch of a view, and back: what compares as tokens do. The life is in it: a proxy that began anew may win a round that
 it had won before, where all electors forgot, and its views are others then."""
+
 from ..tenants.kept import LIFE
 
-PLACES = 16     # bits of a proxy's number
+PLACES = 16  # bits of a proxy's number
 
 
 def epoch_of(token):
--- a/gannetfront/edge/__main__.py
+++ b/gannetfront/edge/__main__.py
@@ -1,4 +1,5 @@
 """`python -m gannetfront.edge`: the proxy on the users' platform, in the foreground, told by its environment."""
+
 import os
 import signal
 import sys
--- a/gannetfront/edge/api.py
+++ b/gannetfront/edge/api.py
@@ -1,18 +1,26 @@
 """The links to the release API: votes, each called once, and the stream of notices."""
+
 from .. import host
 from ..interface import ERROR, SUCCEEDED, TIMEOUT
 from ..wire import BadAnswer, asking, http, platform
 
-SILENCE_TIMEOUT = 3500.0           # ms: the stream shows a sign of life each second, so that one without is not there
-IDLE_TIMEOUT = 4000.0           # ms that an idle connection for votes is kept; the platform's end comes later
+SILENCE_TIMEOUT = 3500.0  # ms: the stream shows a sign of life each second, so that one without is not there
+IDLE_TIMEOUT = 4000.0  # ms that an idle connection for votes is kept; the platform's end comes later
 MIN_BACKOFF, MAX_BACKOFF = 20.0, 1000.0
-SAME = 200.0            # ms within which two readings of when a state began may differ
+SAME = 200.0  # ms within which two readings of when a state began may differ
 
 
 class ReleaseApi:
     def __init__(self, at, operations, answer_wait, tell, jitter, log):
         """`operations` maps names to an index; `tell(name, *fields)` passes an event on to the decisions."""
-        self.at, self.operations, self.wait, self.tell, self.jitter, self.log = at, operations, answer_wait, tell, jitter, log
+        self.at, self.operations, self.wait, self.tell, self.jitter, self.log = (
+            at,
+            operations,
+            answer_wait,
+            tell,
+            jitter,
+            log,
+        )
         self.box, self.newest, self.kept, self.turn, self.stream = host.Mailbox(16), None, None, 0, None
 
     # ---- what is told ----
@@ -44,7 +52,9 @@
             form = self.box.take()
             if form:
                 status, told = self.cast(platform.vote(*form))
-                self.log.info("vote", stage=form[0], build=form[1], verdict=platform.VERDICTS[form[2]], answer=status)
+                self.log.info(
+                    "vote", stage=form[0], build=form[1], verdict=platform.VERDICTS[form[2]], answer=status
+                )
                 self.state(True, status, told)
 
     def cast(self, form):
@@ -56,7 +66,9 @@
             stream = stream or host.connect(at, left())
         except host.Refused:
             return ERROR, None
-        data = http.request(b"/api/", at.encode(), [(b"content-type", b"application/x-www-form-urlencoded")], form)
+        data = http.request(
+            b"/api/", at.encode(), [(b"content-type", b"application/x-www-form-urlencoded")], form
+        )
         reader, stream.sent = http.AnswerReader(65536), 0
         try:
             stream.send(data, left())
@@ -107,7 +119,7 @@
                 if reader.good and not heard:
                     heard, before, self.stream = True, self.stream, stream
                     if before:
-                        before.close()      # told on both, a count would be taken twice
+                        before.close()  # told on both, a count would be taken twice
                 for event, fields in told:
                     self.on_notice(event, fields)
                 if reader.ended:
--- a/gannetfront/edge/clients.py
+++ b/gannetfront/edge/clients.py
@@ -1,11 +1,27 @@
 """The clients' side on the platform: queries read ahead, begun when read, answered in their order, each once."""
+
 from collections import Counter, deque
 
 from .. import host
 from ..interface import SUCCEEDED
 from ..wire import pg
-from .budget import (BAD_IN_A_ROW, BUSY, IDLE, IDLE_TIMEOUT, LINGER_SIZE, LINGER_TIMEOUT, MAX_LINGERING, MAX_PENDING,
-                     MAX_PIPELINED, OVERDUE, READ_AHEAD, SILENT, START_TIMEOUT, STARTING, WRITE_TIMEOUT)
+from .budget import (
+    BAD_IN_A_ROW,
+    BUSY,
+    IDLE,
+    IDLE_TIMEOUT,
+    LINGER_SIZE,
+    LINGER_TIMEOUT,
+    MAX_LINGERING,
+    MAX_PENDING,
+    MAX_PIPELINED,
+    OVERDUE,
+    READ_AHEAD,
+    SILENT,
+    START_TIMEOUT,
+    STARTING,
+    WRITE_TIMEOUT,
+)
 from .config import MARGIN
 
 
@@ -16,9 +32,15 @@
 class Clients:
     def __init__(self, rounds, operations, limits, budget, log):
         """`operations` as wire/pg.statement takes them; `limits` are time limits in ms by operation."""
-        self.rounds, self.operations, self.limits, self.budget, self.log = rounds, operations, limits, budget, log
+        self.rounds, self.operations, self.limits, self.budget, self.log = (
+            rounds,
+            operations,
+            limits,
+            budget,
+            log,
+        )
         self.open, self.ids, self.turned_away = set(), set(), Counter()
-        self.draining = False       # connections end with the answer after which nothing is owed on them
+        self.draining = False  # connections end with the answer after which nothing is owed on them
         self.lingering = host.LingeringCloses(MAX_LINGERING, LINGER_TIMEOUT, LINGER_SIZE)
 
     def handle(self, stream):
@@ -27,14 +49,14 @@
         try:
             if not self.budget.enter(stream):
                 self.turned_away["no descriptor"] += 1
-                soonest = min(map(self.rounds.advice, range(len(self.limits))))     # what it wants is not known
+                soonest = min(map(self.rounds.advice, range(len(self.limits))))  # what it wants is not known
                 stream.send(pg.throttled(soonest, "too many connections", True), 0.0)
             elif not Session(self, stream).run():
                 return
             # It ended here, with a last answer that the client may not have read while it still writes.
             close = lambda: self.lingering.close(stream)
         except (OSError, host.Timeout, Left):
-            pass    # a client that left, broke off, says nothing or does not read: nobody is there to be told
+            pass  # a client that left, broke off, says nothing or does not read: nobody is there to be told
         finally:
             self.budget.leave(stream)
             close()
@@ -46,7 +68,12 @@
 
     def __init__(self, clients, stream):
         self.all, self.stream, self.reader = clients, stream, pg.ClientReader()
-        self.pending, self.count, self.last, self.looked = deque(), 0, False, False     # pending: bytes, or (Held, id)
+        self.pending, self.count, self.last, self.looked = (
+            deque(),
+            0,
+            False,
+            False,
+        )  # pending: bytes, or (Held, id)
         self.bad, self.dropped = 0, 0
 
     def run(self):
@@ -69,7 +96,7 @@
             if out:
                 stream.send(out, WRITE_TIMEOUT)
                 since = host.now()
-                continue        # others may have been answered meanwhile
+                continue  # others may have been answered meanwhile
             if not self.pending and self.last:
                 return True
             state = self.state()
@@ -97,7 +124,7 @@
                         held.extra.done.wait(left)
                         continue
                     if self.all.draining and next_byte is None:
-                        stream.until(host.READ, left, held.extra.done)     # for its end: nothing more is taken
+                        stream.until(host.READ, left, held.extra.done)  # for its end: nothing more is taken
                         continue
                     data = stream.recv_or(held.extra.done, 65536, left)
             except host.Timeout:
@@ -124,7 +151,9 @@
     def state(self):
         if self.pending or self.last or self.reader.started and self.reader.begun:
             return BUSY
-        return IDLE if self.reader.started else STARTING if self.reader.begun or self.reader.wishes else SILENT
+        return (
+            IDLE if self.reader.started else STARTING if self.reader.begun or self.reader.wishes else SILENT
+        )
 
     def settled(self):
         """What the answers at the head of the line come to, in bytes."""
--- a/gannetfront/edge/config.py
+++ b/gannetfront/edge/config.py
@@ -2,6 +2,7 @@
 
 Whatever is wrong raises BadSetting, which names the variable or the field.
 """
+
 import json
 from dataclasses import replace
 from math import isfinite
@@ -13,7 +14,7 @@
 from ..wire.platform import Listing, news
 from .budget import Budget
 
-MARGIN = 10.0       # ms kept back, so that an answer is written before the client's time is up
+MARGIN = 10.0  # ms kept back, so that an answer is written before the client's time is up
 
 
 def part(whole, name, kind, where):
@@ -48,8 +49,10 @@
 
 def moved(told):
     """The addresses that may change while the proxy runs: (discovery, release API)."""
-    return (place(told.get("discovery"), "discovery"),
-            place(part(told, "release_api", dict, "").get("address"), "release_api.address"))
+    return (
+        place(told.get("discovery"), "discovery"),
+        place(part(told, "release_api", dict, "").get("address"), "release_api.address"),
+    )
 
 
 class Start:
@@ -58,9 +61,14 @@
     def __init__(self, told, environment):
         settings = part(told, "settings", dict, "")
         self.facts = codec.facts(settings)
-        zones, kinds = part(settings, "localities", list, "settings."), part(settings, "models", list, "settings.")
+        zones, kinds = (
+            part(settings, "localities", list, "settings."),
+            part(settings, "models", list, "settings."),
+        )
         if self.facts.zone >= len(zones):
-            raise BadSetting(f"settings.myZone: must be one of the {len(zones)} localities, not {self.facts.zone}")
+            raise BadSetting(
+                f"settings.myZone: must be one of the {len(zones)} localities, not {self.facts.zone}"
+            )
         self.me, self.listing = self.facts.me, Listing(zones, kinds)
         self.listen = place(environment.get("EDGE_LISTEN") or told.get("listen"), "EDGE_LISTEN")
         self.discovery, self.release_api = moved(told)
@@ -72,8 +80,11 @@
         # Well before the server's own end: a request that crosses it may have run.
         self.pool_idle = 0.5 * count(ceilings, "idleCloseMs", "settings.ceilings.")
         self.most_held = int(min(count(ceilings, "mostHeld", "settings.ceilings."), 5000))
-        for name, value in (("connectTimeoutMs", self.connect_limit), ("idleCloseMs", self.pool_idle),
-                            ("mostHeld", self.most_held)):
+        for name, value in (
+            ("connectTimeoutMs", self.connect_limit),
+            ("idleCloseMs", self.pool_idle),
+            ("mostHeld", self.most_held),
+        ):
             if not isfinite(value) or value <= 0:
                 raise BadSetting(f"settings.ceilings.{name}: must be above 0")
         self.budget = Budget(int(count(limits, "sockets", "limits.")))
@@ -92,7 +103,9 @@
             raise BadSetting(f"known: {bad}") from None
         # The time limit, by operation; names in bytes to what a statement is read by.
         self.limits = [o.time_limit for o in self.facts.operations]
-        self.operations = {o.name.encode(): (n, o.effect == "fingerprinted") for n, o in enumerate(self.facts.operations)}
+        self.operations = {
+            o.name.encode(): (n, o.effect == "fingerprinted") for n, o in enumerate(self.facts.operations)
+        }
         self.by_name = {o.name: n for n, o in enumerate(self.facts.operations)}
         peers = told.get("peers") or []
         if not isinstance(peers, list):
@@ -101,4 +114,4 @@
         self.peers = {ident: at for ident, at in named.items() if ident != str(self.me)}
         self.peer_listen = place(told["peer_listen"], "peer_listen") if told.get("peer_listen") else None
         if not self.peer_listen:
-            self.facts = replace(self.facts, may_signal=False)      # allowed, but there is no way to the others
+            self.facts = replace(self.facts, may_signal=False)  # allowed, but there is no way to the others
