--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -1,22 +1,30 @@
 """The link to discovery: the list as it is at the start, then a watch that resumes by version."""
+
 from .. import host
 from ..interface import GONE, READY
 from ..wire import BadAnswer, http
 
 # What a silent watch misses counts as told 6 s after it fell silent, which may be right after its call. By then it was given up, so
 # was a connection that was silent as well, and another has answered: 3 + 0.5 + 1 s, which leaves 1.5 s to a slow loop.
-WATCH = 3000.0          # ms that a watch may wait
-SILENT = 500.0          # ms past that, after which the agent is asked on a new connection: it answers at once
-CONNECT_TIMEOUT = 1000.0        # ms for a connection, and for a call to be written
-LONGEST = 4 << 20       # bytes of a listing
-MIN_BACKOFF, MAX_BACKOFF = 10.0, 500.0     # ms between failures: a watch is broken by 200
+WATCH = 3000.0  # ms that a watch may wait
+SILENT = 500.0  # ms past that, after which the agent is asked on a new connection: it answers at once
+CONNECT_TIMEOUT = 1000.0  # ms for a connection, and for a call to be written
+LONGEST = 4 << 20  # bytes of a listing
+MIN_BACKOFF, MAX_BACKOFF = 10.0, 500.0  # ms between failures: a watch is broken by 200
 
 
 class Discovery:
     def __init__(self, at, listing, tell, pools, jitter, log):
         """`tell(kind, entries)` passes a listing on to the decisions."""
-        self.at, self.listing, self.tell, self.pools, self.jitter, self.log = at, listing, tell, pools, jitter, log
-        self.version, self.entries, self.moved = 0, {}, host.Once()     # host -> (entry, dial, born)
+        self.at, self.listing, self.tell, self.pools, self.jitter, self.log = (
+            at,
+            listing,
+            tell,
+            pools,
+            jitter,
+            log,
+        )
+        self.version, self.entries, self.moved = 0, {}, host.Once()  # host -> (entry, dial, born)
 
     def address(self, name):
         """Where a node listens; one that a list has just left out or called gone is sent nothing."""
@@ -68,7 +76,9 @@
                 # What could not be read is dropped whole; the next answer is the whole list.
                 whole = whole or isinstance(trouble, BadAnswer)
                 if not moved.ready():
-                    self.log.info("discovery lost", at=self.at, why=str(trouble)[:200] or type(trouble).__name__)
+                    self.log.info(
+                        "discovery lost", at=self.at, why=str(trouble)[:200] or type(trouble).__name__
+                    )
             finally:
                 if stream:
                     stream.close()
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -1,4 +1,5 @@
 """The proxy on the users' platform, assembled: clients' side, rounds, pools, discovery, release API, peers; its life."""
+
 from .. import host
 from ..balance import Balancer, come_back
 from ..interface import SUCCEEDED
@@ -13,7 +14,7 @@
 from .discovery import Discovery
 
 USER, DATABASE = b"client", b"core"
-ACCEPT_GRACE = 600.0    # ms after SIGTERM in which clients still come and use what they have
+ACCEPT_GRACE = 600.0  # ms after SIGTERM in which clients still come and use what they have
 ANSWER_LIMIT = 1 << 18  # bytes of a node's answer
 REPORTED = 5000.0
 
@@ -21,15 +22,33 @@
 class Edge:
     def __init__(self, start, path, log):
         self.path, self.log, self.budget = path, log, start.budget
-        self.pools = Pools(self.budget.nodes_most, start.pool_idle, start.connect_limit, self.connect, self.room)
-        self.rounds = Rounds(lambda: Balancer(start.seed, start.facts), 0.0, start.most_held, ANSWER_LIMIT, self.pools, log,
-                             start.me, pg)
+        self.pools = Pools(
+            self.budget.nodes_most, start.pool_idle, start.connect_limit, self.connect, self.room
+        )
+        self.rounds = Rounds(
+            lambda: Balancer(start.seed, start.facts),
+            0.0,
+            start.most_held,
+            ANSWER_LIMIT,
+            self.pools,
+            log,
+            start.me,
+            pg,
+        )
         self.rounds.refill, self.rounds.build_of = self.refill, lambda name: self.discovery.build(name)
         jitter = host.Jitter(start.seed + 1)
         self.rounds.know(start.facts, come_back, jitter)
-        self.discovery = Discovery(start.discovery, start.listing, lambda *told: self.rounds.tell("listed", *told), self.pools,
-                                   jitter, log)
-        self.api = ReleaseApi(start.release_api, start.by_name, start.facts.rollout.answer_wait, self.rounds.tell, jitter, log)
+        self.discovery = Discovery(
+            start.discovery,
+            start.listing,
+            lambda *told: self.rounds.tell("listed", *told),
+            self.pools,
+            jitter,
+            log,
+        )
+        self.api = ReleaseApi(
+            start.release_api, start.by_name, start.facts.rollout.answer_wait, self.rounds.tell, jitter, log
+        )
         self.rounds.link = self.api
         self.clients = Clients(self.rounds, start.operations, start.limits, self.budget, log)
         self.signals, self.done, self.drains, self.listen = None, host.Once(), False, start.listen
@@ -77,13 +96,26 @@
 
     def start(self):
         self.greenlets = [host.spawn(self.rounds.run)]
-        host.sleep(0)       # the decisions know the list before anybody comes
+        host.sleep(0)  # the decisions know the list before anybody comes
         self.listener = host.Listener(self.listen, 4096)
-        self.greenlets += [host.spawn(call) for call in (self.discovery.run, self.api.run, self.api.listen, self.tend, *(
-            [self.signals.run] if self.signals else []))]
+        self.greenlets += [
+            host.spawn(call)
+            for call in (
+                self.discovery.run,
+                self.api.run,
+                self.api.listen,
+                self.tend,
+                *([self.signals.run] if self.signals else []),
+            )
+        ]
         self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log))
-        self.log.info("serving", at=self.listener.where, nodes=len(self.discovery.entries),
-                      clients=self.budget.clients_most, to_nodes=self.budget.nodes_most)
+        self.log.info(
+            "serving",
+            at=self.listener.where,
+            nodes=len(self.discovery.entries),
+            clients=self.budget.clients_most,
+            to_nodes=self.budget.nodes_most,
+        )
 
     def tend(self):
         """Idle connections in time; every few seconds a line of how things stand."""
@@ -93,10 +125,22 @@
             self.pools.sweep(self.discovery.entries)
             if host.now() - told >= REPORTED:
                 rounds, told = self.rounds, host.now()
-                away, self.clients.turned_away = dict(self.clients.turned_away), type(self.clients.turned_away)()
-                self.log.info("standing", held=len(rounds.held), out=len(rounds.flights), clients=len(self.clients.open),
-                              to_nodes=self.pools.size(), bound=min(1e6, round(rounds.balancer.limit, 1)),
-                              rounds=rounds.rounds, decisions_ms=round(rounds.spent - spent), turned_away=away, ends={f"{k} {o}": n for (k, o), n in sorted(rounds.ends.items())})
+                away, self.clients.turned_away = (
+                    dict(self.clients.turned_away),
+                    type(self.clients.turned_away)(),
+                )
+                self.log.info(
+                    "standing",
+                    held=len(rounds.held),
+                    out=len(rounds.flights),
+                    clients=len(self.clients.open),
+                    to_nodes=self.pools.size(),
+                    bound=min(1e6, round(rounds.balancer.limit, 1)),
+                    rounds=rounds.rounds,
+                    decisions_ms=round(rounds.spent - spent),
+                    turned_away=away,
+                    ends={f"{k} {o}": n for (k, o), n in sorted(rounds.ends.items())},
+                )
                 spent = rounds.spent
 
     def reload(self):
@@ -123,7 +167,7 @@
         self.listener.close()
         self.clients.draining = True
         self.budget.evict_idle((SILENT, IDLE))
-        host.sleep(0)       # those just spawned are among the open ones
+        host.sleep(0)  # those just spawned are among the open ones
         while self.clients.open:
             host.sleep(5)
         self.log.info("stopped")
--- a/gannetfront/faults/relay.py
+++ b/gannetfront/faults/relay.py
@@ -5,14 +5,15 @@
 written with the address of each link, in their order: who talks is told by the address that it talks to. It knows nothing of what is
 said. A stream that is cut stays open and silent; the bytes that were on their way arrive once the cut ends.
 """
+
 import json
 import sys
 
 from .. import host
 from .schedule import Schedule
 
-STEP, CONNECT, CHUNK = 10.0, 1000.0, 1 << 16       # ms between looks at a cut; ms to reach the target; bytes
-MOST = 512          # streams, and datagrams on their way, of one link
+STEP, CONNECT, CHUNK = 10.0, 1000.0, 1 << 16  # ms between looks at a cut; ms to reach the target; bytes
+MOST = 512  # streams, and datagrams on their way, of one link
 
 
 class Crossing:
@@ -38,7 +39,7 @@
                     self.let_cross(source, target, 0)
                     break
                 late = self.let_cross(source, target, len(data))
-                due = max(due, host.now() + late)       # a stream keeps its order
+                due = max(due, host.now() + late)  # a stream keeps its order
                 host.sleep(due - host.now()) if due > host.now() else None
                 go.send(data, None)
         except (OSError, Broken):
@@ -75,7 +76,10 @@
 
 class Relay:
     def __init__(self, facts):
-        self.schedule, self.links = Schedule([tuple(f) for f in facts["faults"]], facts["seed"]), facts["links"]
+        self.schedule, self.links = (
+            Schedule([tuple(f) for f in facts["faults"]], facts["seed"]),
+            facts["links"],
+        )
         self.where, self.ports = [], {}
 
     def faults(self, some):
@@ -86,7 +90,9 @@
         for link in self.links:
             if link["kind"] == "stream":
                 listener = host.Listener("127.0.0.1:0")
-                host.spawn(host.serve, listener, lambda stream, link=link: self.stream(link, stream), None, MOST)
+                host.spawn(
+                    host.serve, listener, lambda stream, link=link: self.stream(link, stream), None, MOST
+                )
                 self.where.append(listener.where)
             else:
                 port = self.ports[link["source"], link["target"]] = host.Datagrams("127.0.0.1:0")
--- a/gannetfront/faults/schedule.py
+++ b/gannetfront/faults/schedule.py
@@ -10,10 +10,11 @@
   rate            bytes a second at most; 0: any
   flap            the fault stands for the first half of each so many ms only; 0: all the time
 """
+
 from ..host import Jitter
 
-RETRY = 200.0       # ms that a lost segment costs a stream, as the least time until it is sent again
-BEHIND = 40.0       # ms by which a datagram is overtaken
+RETRY = 200.0  # ms that a lost segment costs a stream, as the least time until it is sent again
+BEHIND = 40.0  # ms by which a datagram is overtaken
 FACTS = dict(cut=0, reset=0, ms=0.0, jitter=0.0, loss=0.0, twice=0.0, shuffle=0.0, rate=0.0, flap=0.0)
 
 
@@ -49,8 +50,12 @@
         if facts["cut"] or facts["reset"] or facts["loss"] and self.chance(source, target) < facts["loss"]:
             return []
         copies = 1 + bool(facts["twice"] and self.chance(source, target) < facts["twice"])
-        return [facts["ms"] + (facts["jitter"] * self.chance(source, target) if facts["jitter"] else 0.0)
-                + (BEHIND if facts["shuffle"] and self.chance(source, target) < facts["shuffle"] else 0.0) for _ in range(copies)]
+        return [
+            facts["ms"]
+            + (facts["jitter"] * self.chance(source, target) if facts["jitter"] else 0.0)
+            + (BEHIND if facts["shuffle"] and self.chance(source, target) < facts["shuffle"] else 0.0)
+            for _ in range(copies)
+        ]
 
     def chunk(self, now, source, target, size):
         """What becomes of bytes of a stream: ("held", None), ("reset", None), or ("goes", ms until they arrive)."""
--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -4,6 +4,7 @@
 monotonic clock (one per machine: readings of several local processes compare). Every wait takes a limit. A second
 implementation on a virtual clock can stand behind the same names.
 """
+
 import errno
 import os
 import select
@@ -21,7 +22,9 @@
 
 READ, WRITE = 1, 2
 POLLED = {READ: select.POLLIN, WRITE: select.POLLOUT}
-gevent.config.track_greenlet_tree = False       # each spawn would copy its caller's stack for a debugger nobody uses
+gevent.config.track_greenlet_tree = (
+    False  # each spawn would copy its caller's stack for a debugger nobody uses
+)
 
 
 class Timeout(Exception):
@@ -82,7 +85,8 @@
 
 def chance(seed, *streams):
     """A numpy Generator for `seed`; `streams` are whole numbers that set independent users of one seed apart."""
-    import numpy as np      # here: a program that never draws by it is spared its memory
+    import numpy as np  # here: a program that never draws by it is spared its memory
+
     return np.random.Generator(np.random.PCG64([int(seed), *map(int, streams)]))
 
 
@@ -142,6 +146,7 @@
 
 class Wait:
     """One greenlet that waits for the first of several things; whatever wakes it later finds it `done`."""
+
     __slots__ = "me", "done"
 
     def __init__(self):
@@ -173,6 +178,7 @@
 
 class Once:
     """A value set once, by the first to come; any greenlet may wait for it."""
+
     __slots__ = "held", "waits", "is_set"
 
     def __init__(self):
@@ -295,7 +301,7 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
-            pass    # already reset by its peer: the next read says so
+            pass  # already reset by its peer: the next read says so
 
     def send(self, data, limit=None):
         """Sends all of `data`; raises Timeout or OSError. `sent` holds how many bytes left, whatever happened."""
@@ -306,7 +312,7 @@
         self.sent, size, end = 0, len(data), None
         while True:
             try:
-                self.sent += self.sock.send(data if not self.sent else memoryview(data)[self.sent:])
+                self.sent += self.sock.send(data if not self.sent else memoryview(data)[self.sent :])
             except BlockingIOError:
                 pass
             if self.sent >= size:
@@ -384,7 +390,7 @@
                     break
                 left -= len(data)
         except (OSError, Timeout):
-            pass    # it broke, or its time is over
+            pass  # it broke, or its time is over
         finally:
             self.lingering -= 1
             stream.close()
@@ -513,7 +519,7 @@
             while True:
                 streams.append(Stream(self.sock.accept()[0]))
         except OSError:
-            return streams      # none is left, or there is no descriptor for one more
+            return streams  # none is left, or there is no descriptor for one more
 
 
 def serve(listener, handle, log, most=None):
@@ -558,7 +564,7 @@
                 data, who = self.sock.recvfrom(size)
                 return data, "%s:%d" % who[:2]
             except ConnectionError:
-                continue    # an earlier datagram met a closed port: that is loss, not an end
+                continue  # an earlier datagram met a closed port: that is loss, not an end
             except BlockingIOError:
                 pass
             except OSError:
--- a/gannetfront/keptfile.py
+++ b/gannetfront/keptfile.py
@@ -1,7 +1,12 @@
 """A file that holds the newest of something while its program goes on: one write at a time, in a thread of its own."""
+
 from . import host
 
-EVERY, AGAIN, LONG = 250.0, 1000.0, 1000.0      # ms: looked for a change; after a failure; a write that is told of
+EVERY, AGAIN, LONG = (
+    250.0,
+    1000.0,
+    1000.0,
+)  # ms: looked for a change; after a failure; a write that is told of
 
 
 class KeptFile:
@@ -9,7 +14,7 @@
         """`pack()` gives the bytes as they are now; `what` names it in the log. Call `changed()`; `run` is a greenlet's."""
         self.path, self.pack, self.what, self.log = path, pack, what, log
         self.newest, self.written, self.failing = 0, 0, False
-        self.wake, self.waiting = host.Mailbox(1), []       # [(which change, told whether it is written)]
+        self.wake, self.waiting = host.Mailbox(1), []  # [(which change, told whether it is written)]
 
     behind = property(lambda self: self.written != self.newest)
 
@@ -34,7 +39,10 @@
             self.wake.take(AGAIN if self.failing else EVERY)
             if self.behind:
                 written = self.write()
-                done, self.waiting = [w for w in self.waiting if w[0] <= written], [w for w in self.waiting if w[0] > written]
+                done, self.waiting = (
+                    [w for w in self.waiting if w[0] <= written],
+                    [w for w in self.waiting if w[0] > written],
+                )
                 for _, told in done:
                     told.set(not self.failing)
 
@@ -46,7 +54,9 @@
             try:
                 job.wait(LONG)
             except host.Timeout:
-                self.log.warning(f"{self.what} kept late: its disk is slow", file=self.path, after_ms=round(LONG))
+                self.log.warning(
+                    f"{self.what} kept late: its disk is slow", file=self.path, after_ms=round(LONG)
+                )
                 job.wait()
         except OSError as trouble:
             # What a full disk refused is owed until it is written: nothing may change again for hours.
--- a/gannetfront/kitchen/directory.py
+++ b/gannetfront/kitchen/directory.py
@@ -2,6 +2,7 @@
 
 `change` and `remove` are what an administrator does; the attributes of `faults` are what the world does to it.
 """
+
 import uuid
 
 from .. import host
@@ -13,7 +14,11 @@
     """Each holds for as long as it is set."""
 
     def __init__(self):
-        self.lag, self.trickle, self.half_after = 0.0, 0, None     # ms an answer; bytes a second; bytes, then it breaks
+        self.lag, self.trickle, self.half_after = (
+            0.0,
+            0,
+            None,
+        )  # ms an answer; bytes a second; bytes, then it breaks
         self.refuse_bind, self.search_code, self.size_limit, self.range_limit = None, None, None, None
         self.forget_sync = self.garbage = self.silent = False
 
@@ -21,7 +26,12 @@
 class Directory:
     def __init__(self, at="127.0.0.1:0", password="secret", context=None, start_tls=None, history=1000):
         """`context` for LDAPS, `start_tls` a context offered by StartTLS."""
-        self.entries, self.csn, self.log_of, self.history = {}, 0, [], history     # dn -> (uuid, attrs); [(csn, uuid, dn, kind)]
+        self.entries, self.csn, self.log_of, self.history = (
+            {},
+            0,
+            [],
+            history,
+        )  # dn -> (uuid, attrs); [(csn, uuid, dn, kind)]
         self.faults, self.password, self.context, self.start_tls = Faults(), password, context, start_tls
         self.streams, self.watchers, self.searches, self.binds, self.most_links = set(), [], 0, 0, 4096
         self.listener = host.Listener(at)
@@ -36,7 +46,10 @@
     def change(self, dn, **attrs):
         """Adds or replaces an entry; values are text, bytes or lists of them."""
         raw = lambda v: v if isinstance(v, bytes) else str(v).encode()
-        values = {k.lower(): [raw(x) for x in (v if isinstance(v, (list, tuple)) else [v])] for k, v in attrs.items()}
+        values = {
+            k.lower(): [raw(x) for x in (v if isinstance(v, (list, tuple)) else [v])]
+            for k, v in attrs.items()
+        }
         known = self.entries.get(dn)
         ident = known[0] if known else uuid.uuid5(uuid.NAMESPACE_OID, f"{dn} {self.csn}").bytes
         self.csn += 1
@@ -58,7 +71,7 @@
         self.told(ident, new, "modify")
 
     def told(self, ident, dn, kind):
-        self.log_of = (self.log_of + [(self.csn, ident, dn, kind)])[-self.history:]
+        self.log_of = (self.log_of + [(self.csn, ident, dn, kind)])[-self.history :]
         for watcher in list(self.watchers):
             watcher(ident, dn, kind)
 
@@ -102,7 +115,14 @@
 
 class Talk:
     def __init__(self, directory, stream):
-        self.d, self.stream, self.reader, self.bound, self.wrote, self.persist = directory, stream, m.MessageReader(), False, 0, {}
+        self.d, self.stream, self.reader, self.bound, self.wrote, self.persist = (
+            directory,
+            stream,
+            m.MessageReader(),
+            False,
+            0,
+            {},
+        )
 
     def run(self):
         while True:
@@ -122,7 +142,7 @@
         if faults.garbage:
             data = b"\x30\x84\xff\xff\xff\xff" + data
         if faults.half_after is not None and self.wrote + len(data) > faults.half_after:
-            self.stream.send(data[:len(data) // 2], 5000)
+            self.stream.send(data[: len(data) // 2], 5000)
             self.stream.reset()
             raise ConnectionResetError()
         self.wrote += len(data)
@@ -140,7 +160,7 @@
     def on_bind(self, ident, value, controls):
         self.d.binds += 1
         way = value["authentication"]
-        external = isinstance(way, dict)    # SASL EXTERNAL: who it is stands in the certificate of its TLS
+        external = isinstance(way, dict)  # SASL EXTERNAL: who it is stands in the certificate of its TLS
         good = self.certified() if external else not value["name"] or way == self.d.password.encode()
         code = self.d.faults.refuse_bind or ("success" if good else "invalidCredentials")
         self.bound = code == "success"
@@ -161,7 +181,8 @@
 
     def fits(self, dn, base, filter):
         return (dn.lower() == base.lower() or dn.lower().endswith("," + base.lower())) and matches(
-            filter, self.d.entries[dn][1])
+            filter, self.d.entries[dn][1]
+        )
 
     def entry(self, ident, dn, attributes, controls=()):
         attrs = self.d.entries[dn][1]
@@ -170,7 +191,7 @@
             name, _, span = asked.partition(";range=")
             vals, at = attrs.get(name.lower()), int(span.partition("-")[0] or 0)
             if vals and most and len(vals) > most:
-                part = vals[at:at + most]
+                part = vals[at : at + most]
                 last = "*" if at + most >= len(vals) else at + most - 1
                 rows.append({"type": f"{name};range={at}-{last}".encode(), "vals": part})
             elif vals:
@@ -189,13 +210,15 @@
             self.put(ident, "done", self.result(faults.search_code))
             return
         if m.SYNC_REQUEST in controls:
-            self.sync(ident, m.SyncRequestValue.load(controls[m.SYNC_REQUEST]).native, base, filter, attributes)
+            self.sync(
+                ident, m.SyncRequestValue.load(controls[m.SYNC_REQUEST]).native, base, filter, attributes
+            )
             return
         found = [dn for dn in sorted(self.d.entries) if self.fits(dn, base, filter)]
         if value["scope"].native == "base":
             found = [dn for dn in found if dn.lower() == base.lower()]
         if faults.size_limit is not None and len(found) > faults.size_limit:
-            for dn in found[:faults.size_limit]:
+            for dn in found[: faults.size_limit]:
                 self.entry(ident, dn, attributes)
             self.put(ident, "done", self.result("sizeLimitExceeded"))
             return
@@ -203,9 +226,16 @@
         if m.PAGED in controls:
             paged = m.PagedValue.load(controls[m.PAGED]).native
             at = int(paged["cookie"] or b"0")
-            page, more = found[at:at + paged["size"]], at + paged["size"] < len(found)
-            done = [(m.PAGED, False, m.PagedValue({"size": len(found), "cookie": b"%d" % (at + paged["size"]) if more
-                                                   else b""}).dump())]
+            page, more = found[at : at + paged["size"]], at + paged["size"] < len(found)
+            done = [
+                (
+                    m.PAGED,
+                    False,
+                    m.PagedValue(
+                        {"size": len(found), "cookie": b"%d" % (at + paged["size"]) if more else b""}
+                    ).dump(),
+                )
+            ]
             found = page
         for dn in found:
             self.entry(ident, dn, attributes)
@@ -215,11 +245,16 @@
         return b"csn=%d" % self.d.csn
 
     def sync(self, ident, asked, base, filter, attributes):
-        state = lambda word, who: [(m.SYNC_STATE, False, m.SyncStateValue({"state": word, "uuid": who}).dump())]
+        state = lambda word, who: [
+            (m.SYNC_STATE, False, m.SyncStateValue({"state": word, "uuid": who}).dump())
+        ]
         fits = lambda dn: dn in self.d.entries and self.fits(dn, base, filter)
         since = int(asked["cookie"][4:]) if (asked["cookie"] or b"").startswith(b"csn=") else None
-        known = since is not None and not self.d.faults.forget_sync and (
-            since == self.d.csn or any(c == since + 1 for c, *_ in self.d.log_of))
+        known = (
+            since is not None
+            and not self.d.faults.forget_sync
+            and (since == self.d.csn or any(c == since + 1 for c, *_ in self.d.log_of))
+        )
         if since is not None and not known:
             self.put(ident, "done", self.result("syncRefreshRequired"))
             return
@@ -243,8 +278,11 @@
                 if fits(dn):
                     self.entry(ident, dn, attributes, state("add", self.d.entries[dn][0]))
             word = "refresh_present"
-        self.put(ident, "intermediate", {"name": m.SYNC_INFO.encode(), "value": m.SyncInfoValue(
-            name=word, value={"cookie": at}).dump()})
+        self.put(
+            ident,
+            "intermediate",
+            {"name": m.SYNC_INFO.encode(), "value": m.SyncInfoValue(name=word, value={"cookie": at}).dump()},
+        )
         self.persist[ident] = (base, filter, attributes, None)
         for who, dn, kind in late:
             self.tell(ident, who, dn, kind)
@@ -264,8 +302,13 @@
 
     def tell(self, ident, who, dn, kind):
         base, filter, attributes, _ = self.persist[ident]
-        control = lambda word: [(m.SYNC_STATE, False, m.SyncStateValue({
-            "state": word, "uuid": who, "cookie": self.cookie()}).dump())]
+        control = lambda word: [
+            (
+                m.SYNC_STATE,
+                False,
+                m.SyncStateValue({"state": word, "uuid": who, "cookie": self.cookie()}).dump(),
+            )
+        ]
         if kind != "delete" and dn in self.d.entries and self.fits(dn, base, filter):
             self.entry(ident, dn, attributes, control(kind))
         else:
--- a/gannetfront/kitchen/fleet.py
+++ b/gannetfront/kitchen/fleet.py
@@ -3,6 +3,7 @@
 Two faces carry it: sockets (serve.py) and virtual time (lab/world.py). A face gives `clock()` (ms), `later(span, call,
 *fields)`, `up(place, warm)`, `down(place, what, told)`, `report(place, delay)` and `note(place, what)`.
 """
+
 from .. import host
 from .model import Marks, Node, Shared
 
@@ -12,7 +13,13 @@
 class Place:
     def __init__(self, slot, build, zone, cell):
         self.slot, self.build, self.zone, self.cell = slot, build, zone, cell
-        self.at, self.incarnation, self.listener, self.node, self.streams = "127.0.0.1:0", 0, None, None, set()
+        self.at, self.incarnation, self.listener, self.node, self.streams = (
+            "127.0.0.1:0",
+            0,
+            None,
+            None,
+            set(),
+        )
         self.state, self.jobs, self.stuck, self.report = "down", {}, False, None
 
 
@@ -23,7 +30,7 @@
         self.chance, self.over = host.chance(day.seed, 21), False
         self.zone_of = [day.zones[n % len(day.zones)] for n in range(day.proxies)]
         self.effects = {name: op["effect"] for name, op in day.operations.items()}
-        self.timeline, self.lags = [], []       # (scripted ms, kind, begins, places), and how late each came
+        self.timeline, self.lags = [], []  # (scripted ms, kind, begins, places), and how late each came
         self.shared_size = max((o.size for o in day.offers if o.form == "shared"), default=0.0)
 
     def now(self):
@@ -41,11 +48,22 @@
         bad = self.day.offers[place.build - 2] if 2 <= place.build < 2 + len(self.day.offers) else None
         place.incarnation += 1
         spread = 1 + fleet["spread"] * (2 * host.chance(self.day.seed, 31, place.slot).random() - 1)
-        place.node = Node(fleet["cores"], fleet["speed"] * spread, fleet["queue"], fleet["cold"], fleet["cold_for"],
-                          rules["multiple"], rules["overload_for"], self.clock(), warm,
-                          (bad.form, bad.size, bad.operation) if bad else ("", 0.0, ""),
-                          host.chance(self.day.seed, 41, place.slot, place.incarnation), fleet["warm_by"], fleet["thrash"],
-                          fleet["connections"])
+        place.node = Node(
+            fleet["cores"],
+            fleet["speed"] * spread,
+            fleet["queue"],
+            fleet["cold"],
+            fleet["cold_for"],
+            rules["multiple"],
+            rules["overload_for"],
+            self.clock(),
+            warm,
+            (bad.form, bad.size, bad.operation) if bad else ("", 0.0, ""),
+            host.chance(self.day.seed, 41, place.slot, place.incarnation),
+            fleet["warm_by"],
+            fleet["thrash"],
+            fleet["connections"],
+        )
         place.state, place.jobs = "up", {}
         self.note(place, "up")
         for trouble in self.day.troubles:
@@ -62,7 +80,7 @@
         """A job reaches its node: (verdict, jobs that began)."""
         now, node = self.clock(), place.node
         if job.effect == "fingerprinted" and self.group(place, job.op).known(job.mark, now):
-            job.work = 1.0      # a repeat of what has had its effect is known and dropped
+            job.work = 1.0  # a repeat of what has had its effect is known and dropped
         if node.form == "shared":
             self.shared.lately.append(now)
         base = node.slow
@@ -93,7 +111,11 @@
 
     def lag(self, place, proxy):
         """What a slow link adds to one way between a node and a proxy (by number), ms."""
-        home, here, more = self.zone_of[proxy] if 0 <= proxy < len(self.zone_of) else None, self.day.zones[place.zone], 0.0
+        home, here, more = (
+            self.zone_of[proxy] if 0 <= proxy < len(self.zone_of) else None,
+            self.day.zones[place.zone],
+            0.0,
+        )
         for trouble in self.day.during("slow_link", self.now()):
             if home and home != here and trouble.zone in (home, here):
                 more += trouble.ms / 2
@@ -101,16 +123,27 @@
 
     def severed(self, place, proxy):
         """True while a node and a proxy (by number) do not hear each other, as one of them lives in a zone that is cut off."""
-        home, here = self.zone_of[proxy] if 0 <= proxy < len(self.zone_of) else None, self.day.zones[place.zone]
-        return bool(home) and home != here and any(t.zone in (home, here) for t in self.day.during("sever", self.now()))
+        home, here = (
+            self.zone_of[proxy] if 0 <= proxy < len(self.zone_of) else None,
+            self.day.zones[place.zone],
+        )
+        return (
+            bool(home)
+            and home != here
+            and any(t.zone in (home, here) for t in self.day.during("sever", self.now()))
+        )
 
     def load(self, place):
         """(waiting, running) as it reports them: refreshed now and then, a little noisy, false where stuck."""
         if place.stuck:
-            return 0, 0     # a false report: idle, whatever it holds
+            return 0, 0  # a false report: idle, whatever it holds
         fleet, now = self.day.fleet, self.clock()
         if not place.report or now - place.report[0] >= fleet["report_every"]:
-            noise = 1 + fleet["report_noise"] * (2 * place.node.chance.random() - 1) if fleet["report_noise"] else 1
+            noise = (
+                1 + fleet["report_noise"] * (2 * place.node.chance.random() - 1)
+                if fleet["report_noise"]
+                else 1
+            )
             place.report = now, round(len(place.node.waiting) * noise), round(len(place.node.running) * noise)
         return place.report[1:]
 
@@ -125,7 +158,11 @@
             self.timeline.append((at, trouble.kind, begins, sorted(struck)))
             self.lags.append(self.now() - at)
         for place in [only] if only else list(self.places.values()):
-            if place.slot % base in struck and place.node and getattr(trouble, "build", 0) in (0, place.build):
+            if (
+                place.slot % base in struck
+                and place.node
+                and getattr(trouble, "build", 0) in (0, place.build)
+            ):
                 getattr(self, "on_" + trouble.kind)(trouble, place, begins)
         if trouble.kind == "shared_slow":
             self.shared.x = trouble.x if begins else 1.0
@@ -152,13 +189,16 @@
                 self.later(trouble.ms, still, False)
             elif self.now() + trouble.every < trouble.until:
                 self.later(trouble.every, still, True)
+
         if begins:
             still(True)
 
     def on_leak(self, trouble, place, begins):
         """Each job leaves a little behind; only a new process is free of it."""
         rate = self.day.traffic["rate"] / self.day.fleet["nodes"] / 1000
-        place.node.leak_per = (trouble.x - 1) / max(1.0, rate * (trouble.until - trouble.at)) if begins else 0.0
+        place.node.leak_per = (
+            (trouble.x - 1) / max(1.0, rate * (trouble.until - trouble.at)) if begins else 0.0
+        )
 
     def on_slow(self, trouble, place, begins):
         place.node.slow *= trouble.x if begins else 1 / trouble.x
@@ -174,6 +214,7 @@
             node.pulsed = high
             if self.now() < trouble.until and place.node is node:
                 self.later(trouble.every / 2, swing, not high)
+
         if begins:
             node.pulsed = False
             swing(True)
@@ -191,7 +232,7 @@
         place.stuck = begins
 
     def on_shared_slow(self, trouble, place, begins):
-        pass    # of the fleet, not of a place
+        pass  # of the fleet, not of a place
 
     def on_drain(self, trouble, place, begins):
         if begins and place.state == "up":
--- a/gannetfront/kitchen/model.py
+++ b/gannetfront/kitchen/model.py
@@ -3,6 +3,7 @@
 The caller hands in the clock and gets back what it must do: jobs that began come with the time at which they end.
 Work is in ms on one core of speed 1.
 """
+
 from collections import deque
 
 REFUSED, TAKEN, TOPPLED = "refused", "taken", "toppled"
@@ -10,7 +11,14 @@
 
 class Job:
     def __init__(self, request, proxy, seq, op, effect, mark, work, came):
-        self.request, self.proxy, self.seq, self.op, self.effect, self.mark = request, proxy, seq, op, effect, mark
+        self.request, self.proxy, self.seq, self.op, self.effect, self.mark = (
+            request,
+            proxy,
+            seq,
+            op,
+            effect,
+            mark,
+        )
         self.work, self.came, self.began, self.ends, self.dropped = work, came, None, None, False
 
 
@@ -44,14 +52,41 @@
 
 
 class Node:
-    def __init__(self, cores, speed, queue, cold, cold_for, multiple, overload_for, born, warm, build, chance,
-                 warm_by="time", thrash=0.02, connections=0.0):
+    def __init__(
+        self,
+        cores,
+        speed,
+        queue,
+        cold,
+        cold_for,
+        multiple,
+        overload_for,
+        born,
+        warm,
+        build,
+        chance,
+        warm_by="time",
+        thrash=0.02,
+        connections=0.0,
+    ):
         """`build` is (form, size, operation); `cold` the part of capacity at the start, `cold_for` ms to the whole
         (sooner with work done where `warm_by` is "work"); `thrash` work added for each job waiting beyond the cores;
         `connections` capacity that a hundred open ones take, as a share."""
-        self.by_work, self.thrash, self.tax, self.connected, self.done = warm_by == "work", thrash, connections, 0, 0.0
+        self.by_work, self.thrash, self.tax, self.connected, self.done = (
+            warm_by == "work",
+            thrash,
+            connections,
+            0,
+            0.0,
+        )
         self.leak, self.leak_per = 1.0, 0.0
-        self.cores, self.speed, self.most_waiting, self.cold, self.cold_for = cores, speed, queue, cold, cold_for
+        self.cores, self.speed, self.most_waiting, self.cold, self.cold_for = (
+            cores,
+            speed,
+            queue,
+            cold,
+            cold_for,
+        )
         self.multiple, self.overload_for, self.born, self.warm = multiple, overload_for, born, warm
         self.form, self.size, self.bad_op = build
         self.chance, self.running, self.waiting = chance, set(), deque()
@@ -62,7 +97,7 @@
         if self.warm or not self.cold_for:
             return 1.0
         part = max(0.0, now - self.born) / self.cold_for
-        if self.by_work:    # never slower than by time
+        if self.by_work:  # never slower than by time
             part = max(part, 2 * self.done / (self.cores * self.speed * self.cold_for))
         return min(1.0, self.cold + (1 - self.cold) * part)
 
@@ -120,15 +155,25 @@
             return True, []
         self.running.discard(job)
         self.done += job.work
-        self.leak += self.leak_per      # memory that is never given back: each job costs the next ones more
+        self.leak += self.leak_per  # memory that is never given back: each job costs the next ones more
         return job.fails or self.breaks(now, job), self.begin(now)
 
     def breaks(self, now, job):
         draw, form, size = self.chance.random(), self.form, self.size
-        return (form == "errors" and draw < size
-                or form == "class" and job.op == self.bad_op and draw < size
-                or form == "load" and self.busy() + 1 / self.cores > 0.5 and len(self.waiting) > 0 and draw < size
-                or form == "late" and now - self.born > 5000 and draw < size)
+        return (
+            form == "errors"
+            and draw < size
+            or form == "class"
+            and job.op == self.bad_op
+            and draw < size
+            or form == "load"
+            and self.busy() + 1 / self.cores > 0.5
+            and len(self.waiting) > 0
+            and draw < size
+            or form == "late"
+            and now - self.born > 5000
+            and draw < size
+        )
 
     def drop(self, job, stops):
         """Its caller is gone: waiting work is dropped, running work stops or goes on. True if it never began."""
--- a/gannetfront/kitchen/scripted_directory.py
+++ b/gannetfront/kitchen/scripted_directory.py
@@ -1,4 +1,5 @@
 """The stand-in directory as a day script has it: filled with the script's tenants, troubled as it says, each change recorded."""
+
 from .. import host
 from ..records import Table
 from .directory import Directory
@@ -19,7 +20,9 @@
                 host.later(start + trouble.until - host.now(), self.trouble, trouble, False)
 
     def member(self, ident, group):
-        self.directory.change(f"uid={ident},ou=tenants,dc=day", uid=ident, memberOf=f"cn={group},ou=groups,dc=day")
+        self.directory.change(
+            f"uid={ident},ou=tenants,dc=day", uid=ident, memberOf=f"cn={group},ou=groups,dc=day"
+        )
 
     def note(self, what, who):
         self.events.add(host.now(), what, who, "")
--- a/gannetfront/kitchen/serve.py
+++ b/gannetfront/kitchen/serve.py
@@ -2,6 +2,7 @@
 
 Every dispatch that reaches a node is a row of what crossed its socket, with the effect that it had.
 """
+
 import json
 
 from .. import host
@@ -29,7 +30,7 @@
         self.kitchen.tell(c.Report(all=True))
 
     def on_refusal(self, message):
-        self.turned_away = True     # it stands by: another acts
+        self.turned_away = True  # it stands by: another acts
 
     def on_place(self, message):
         host.spawn(self.kitchen.place, message)
@@ -52,16 +53,23 @@
 
     def run(self):
         self.schedule_troubles()
-        if self.link is None:    # by itself: the fleet at rest, for whoever is pointed at it
+        if self.link is None:  # by itself: the fleet at rest, for whoever is pointed at it
             for slot in range(self.day.fleet["nodes"]):
-                self.place(c.Place(slot=slot, build=1, zone=slot % len(self.day.zones), warm=True,
-                                   cell=slot // self.day.fleet["cell"]))
+                self.place(
+                    c.Place(
+                        slot=slot,
+                        build=1,
+                        zone=slot % len(self.day.zones),
+                        warm=True,
+                        cell=slot // self.day.fleet["cell"],
+                    )
+                )
             return
         self.link.run()
 
     def tell(self, report):
         """Without a link it is left: the next one begins with all that runs."""
-        if self.link is not None and self.link.out is not None:     # an empty box is false
+        if self.link is not None and self.link.out is not None:  # an empty box is false
             self.link.out.put(frames.pack(report=report))
 
     def report(self, place, delay):
@@ -70,12 +78,21 @@
             return
         state = {"up": c.READY, "draining": c.DRAINING}.get(place.state, c.GONE)
         born = place.node.born if place.node and not place.node.warm else None
-        facts = dict(id=place.at, zone=place.zone, build=place.build, kind=0, cell=place.cell, state=state,
-                     heft=1.0, incarnation=place.incarnation)
+        facts = dict(
+            id=place.at,
+            zone=place.zone,
+            build=place.build,
+            kind=0,
+            cell=place.cell,
+            state=state,
+            heft=1.0,
+            incarnation=place.incarnation,
+        )
 
         def tell():
             age = host.now() - born if born is not None else -1.0
             self.tell(c.Report(slot=place.slot, node=c.Node(age=age, **facts)))
+
         if delay > 0:
             host.later(delay, tell)
         else:
@@ -112,8 +129,19 @@
 
     def note(self, place, what):
         node = place.node
-        self.life.add(host.now(), place.at, place.slot, place.incarnation, place.build, place.zone, place.cell, what,
-                      node.cores * node.speed, 1.0 if node.warm else node.cold, 0.0 if node.warm else node.cold_for)
+        self.life.add(
+            host.now(),
+            place.at,
+            place.slot,
+            place.incarnation,
+            place.build,
+            place.zone,
+            place.cell,
+            what,
+            node.cores * node.speed,
+            1.0 if node.warm else node.cold,
+            0.0 if node.warm else node.cold_for,
+        )
 
     def down(self, place, what, told):
         """Its process ends at once: connections are reset, what it worked on is lost."""
@@ -140,8 +168,14 @@
             self.down(place, "stopped", 0)
             self.places.pop(message.slot, None)
         # Said in any case: a place that was still starting, or lay crashed, is empty now as well.
-        self.tell(c.Report(slot=message.slot, node=c.Node(
-            id=place.at if place else "", state=c.GONE, incarnation=place.incarnation if place else 0)))
+        self.tell(
+            c.Report(
+                slot=message.slot,
+                node=c.Node(
+                    id=place.at if place else "", state=c.GONE, incarnation=place.incarnation if place else 0
+                ),
+            )
+        )
 
     # ---- one connection ----
 
@@ -177,14 +211,22 @@
         proxy = (http.header(headers, b"gannet-from") or b"").decode("latin-1")
         number = int(proxy.rpartition("/")[2]) if proxy.rpartition("/")[2].isdigit() else -1
         self.while_severed(place, number)
-        if path == b"/-/shallow":       # beside the queue: says only that the process runs
+        if path == b"/-/shallow":  # beside the queue: says only that the process runs
             return http.answer(200, [self.reported(place)], b"ok\n", keep)
-        if path == b"/-/deep":          # waits and is served as an invocation is
+        if path == b"/-/deep":  # waits and is served as an invocation is
             headers = [(b"x-work-ms", b"1"), (b"x-request-id", b"probe")]
         get = lambda name: (http.header(headers, name) or b"").decode("latin-1")
         op, mark = path[1:].decode("latin-1"), get(b"idempotency-key")
-        job = Job(get(b"x-request-id"), proxy, int(get(b"gannet-dispatch") or 0), op,
-                  self.effects.get(op, "side-effecting"), mark, float(get(b"x-work-ms") or 10.0), came)
+        job = Job(
+            get(b"x-request-id"),
+            proxy,
+            int(get(b"gannet-dispatch") or 0),
+            op,
+            self.effects.get(op, "side-effecting"),
+            mark,
+            float(get(b"x-work-ms") or 10.0),
+            came,
+        )
         job.done = host.Once()
         lag = self.lag(place, number)
         host.sleep(lag)
@@ -206,7 +248,7 @@
         if data is not None:
             # The proxy is gone or sent out of turn: its dispatch is called off.
             if id(job) not in place.jobs:
-                return None     # lost with its process, and written down as that: one dispatch is one row
+                return None  # lost with its process, and written down as that: one dispatch is one row
             never = node.drop(job, self.day.fleet["cancelled"] == "stops")
             if never or self.day.fleet["cancelled"] == "stops":
                 del place.jobs[id(job)]
@@ -218,8 +260,12 @@
         if job.done.value() is None:
             return None
         failed, _ = job.done.value()
-        return http.answer(500 if failed else 200, [(b"x-build", b"%d" % place.build), self.reported(place)],
-                           b"failed\n" if failed else b"done\n", keep)
+        return http.answer(
+            500 if failed else 200,
+            [(b"x-build", b"%d" % place.build), self.reported(place)],
+            b"failed\n" if failed else b"done\n",
+            keep,
+        )
 
     def while_severed(self, place, number):
         """What crosses a cut is held and heard once it ends, as a kept stream has it."""
@@ -238,7 +284,7 @@
             host.later(50, self.finish, place, node, job)
             return
         if id(job) not in place.jobs or place.node is not node:
-            return      # lost with its process, or called off
+            return  # lost with its process, or called off
         del place.jobs[id(job)]
         failed, effect, begun = self.through(place, job)
         self.row(place, job, "error" if failed else "ok", effect)
@@ -246,28 +292,67 @@
         self.schedule(place, node, begun)
 
     def row(self, place, job, outcome, effect):
-        self.served.add(job.request, job.proxy, job.seq, job.op, job.mark, place.at, place.incarnation, place.build,
-                        place.zone, place.cell, job.came, job.began, host.now(), outcome, effect, job.work)
+        self.served.add(
+            job.request,
+            job.proxy,
+            job.seq,
+            job.op,
+            job.mark,
+            place.at,
+            place.incarnation,
+            place.build,
+            place.zone,
+            place.cell,
+            job.came,
+            job.began,
+            host.now(),
+            outcome,
+            effect,
+            job.work,
+        )
 
     def view(self):
         """Each place as it stands, for whoever asks."""
         now = host.now()
-        return [dict(slot=p.slot, address=p.at, build=p.build, zone=self.day.zones[p.zone], state=p.state,
-                     incarnation=p.incarnation, capacity=round(p.node.ramp(now), 3), running=len(p.node.running),
-                     waiting=len(p.node.waiting), connections=len(p.streams), silent=p.node.silent,
-                     slow=round(p.node.slow * p.node.leak, 3)) for _, p in sorted(self.places.items()) if p.node]
+        return [
+            dict(
+                slot=p.slot,
+                address=p.at,
+                build=p.build,
+                zone=self.day.zones[p.zone],
+                state=p.state,
+                incarnation=p.incarnation,
+                capacity=round(p.node.ramp(now), 3),
+                running=len(p.node.running),
+                waiting=len(p.node.waiting),
+                connections=len(p.streams),
+                silent=p.node.silent,
+                slow=round(p.node.slow * p.node.leak, 3),
+            )
+            for _, p in sorted(self.places.items())
+            if p.node
+        ]
 
     def show(self, at):
         """Answers any request at `at` with the view, as JSON."""
+
         def handle(stream):
             try:
                 if asked(stream, http.RequestReader(8192, 8192), 5000):
-                    stream.send(http.answer(200, [(b"content-type", b"application/json")],
-                                            json.dumps(self.view(), indent=1).encode() + b"\n", False), 5000)
+                    stream.send(
+                        http.answer(
+                            200,
+                            [(b"content-type", b"application/json")],
+                            json.dumps(self.view(), indent=1).encode() + b"\n",
+                            False,
+                        ),
+                        5000,
+                    )
             except (OSError, host.Timeout, http.BadRequest):
                 pass
             finally:
                 stream.close()
+
         listener = host.Listener(at)
         host.spawn(host.serve, listener, handle, self.log, 32)
         return listener.where
--- a/gannetfront/lab/baselines.py
+++ b/gannetfront/lab/baselines.py
@@ -3,11 +3,24 @@
 Each has the Balancer's call: `round(now, events, out)`. They keep exposure by the cap's count, send each invocation
 once (a refused one once more where nothing ran) and vote by their rule.
 """
+
 from collections import deque
 
 from .. import host
 from ..interface import (
-    BACK, ERROR, FULL, MOOT, ON, READY, RELEASED, RESET, SUCCEEDED, TIMEOUT, TRIAL, UNCONNECTED)
+    BACK,
+    ERROR,
+    FULL,
+    MOOT,
+    ON,
+    READY,
+    RELEASED,
+    RESET,
+    SUCCEEDED,
+    TIMEOUT,
+    TRIAL,
+    UNCONNECTED,
+)
 
 
 class Plain:
@@ -26,7 +39,9 @@
         self.now, self.out = now, out
         for name, *fields in events:
             getattr(self, name, lambda *x: None)(*fields)
-        while self.invs and now >= next(iter(self.invs.values()))[3] - 0.5:     # nearly in the order of their deadlines
+        while (
+            self.invs and now >= next(iter(self.invs.values()))[3] - 0.5
+        ):  # nearly in the order of their deadlines
             ident = next(iter(self.invs))
             del self.invs[ident]
             out.terminate(ident)
@@ -35,7 +50,7 @@
             if verdict:
                 out.vote(self.stage, self.ver, verdict)
             self.vote_due = now + 500
-        if (self.invs or self.phase == TRIAL) and now >= self.woken:   # one alarm at a time
+        if (self.invs or self.phase == TRIAL) and now >= self.woken:  # one alarm at a time
             self.woken = now + 250
             out.timer(self.woken, "tick")
 
@@ -60,7 +75,10 @@
 
     def exposed(self, op):
         for kept in (self.took, self.made):
-            while kept and kept[0] < self.now - self.r.window - (kept is self.made) * 20 + (kept is self.took) * 20:
+            while (
+                kept
+                and kept[0] < self.now - self.r.window - (kept is self.made) * 20 + (kept is self.took) * 20
+            ):
                 kept.popleft()
         return self.cap > 0 and len(self.made) + 1 <= self.r.free + self.cap * len(self.took)
 
@@ -209,5 +227,13 @@
         return ON if self.phase == TRIAL and self.now - self.since > 3000 else None
 
 
-POLICIES = {"module": None, "random": Plain, "clock": Clock, "least-loaded": LeastLoaded, "outliers": Outliers,
-            "canary": Canary, "budget": Budget, "adaptive": Adaptive}
+POLICIES = {
+    "module": None,
+    "random": Plain,
+    "clock": Clock,
+    "least-loaded": LeastLoaded,
+    "outliers": Outliers,
+    "canary": Canary,
+    "budget": Budget,
+    "adaptive": Adaptive,
+}
--- a/gannetfront/lab/grid.py
+++ b/gannetfront/lab/grid.py
@@ -3,6 +3,7 @@
 A cell is a file, whole or absent; an interrupted grid takes up where it was. What a cell holds depends on its script,
 changes, policy, seed and the core's text alone: neither the number of workers nor the clock changes a byte but `took`.
 """
+
 import io
 import json
 import time
@@ -20,8 +21,21 @@
 from .baselines import POLICIES
 from .sites import world_of
 
-WINDOW = 1000.0     # ms of a row
-COLUMNS = ("at", "asked", "earned", "late", "throttled", "terminated", "lost", "trial", "old", "harm", "stage", "open_nodes")
+WINDOW = 1000.0  # ms of a row
+COLUMNS = (
+    "at",
+    "asked",
+    "earned",
+    "late",
+    "throttled",
+    "terminated",
+    "lost",
+    "trial",
+    "old",
+    "harm",
+    "stage",
+    "open_nodes",
+)
 
 
 class BadExperiment(Exception):
@@ -33,7 +47,14 @@
     alone, like `proxies`, has FACT '-')."""
 
     def __init__(self, path):
-        self.path, self.script, self.text, self.seeds, self.policies, self.vary = Path(path), None, "", range(1, 4), ["module"], []
+        self.path, self.script, self.text, self.seeds, self.policies, self.vary = (
+            Path(path),
+            None,
+            "",
+            range(1, 4),
+            ["module"],
+            [],
+        )
         try:
             lines = self.path.read_text(encoding="utf-8").splitlines()
         except (OSError, UnicodeDecodeError) as trouble:
@@ -53,7 +74,7 @@
             self.text = self.script.read_text(encoding="utf-8")
         except (OSError, UnicodeDecodeError) as trouble:
             raise BadExperiment(f"{path}: script {self.script}: cannot be read: {trouble}") from None
-        for cell in self.cells():   # every cell's script is read before any is played
+        for cell in self.cells():  # every cell's script is read before any is played
             self.day(cell)
 
     def on_script(self, name):
@@ -90,8 +111,11 @@
             words = line.split("#")[0].split()
             for name, fact, value in cell["changes"]:
                 if words and words[0] == name:
-                    words = [name, value] if fact == "-" else [
-                        w for w in words if not w.startswith(fact + "=")] + [f"{fact}={value}"]
+                    words = (
+                        [name, value]
+                        if fact == "-"
+                        else [w for w in words if not w.startswith(fact + "=")] + [f"{fact}={value}"]
+                    )
             if words and words[0] == "seed":
                 continue
             lines.append(" ".join(words))
@@ -139,17 +163,19 @@
     for when, what, f in world.story:
         if what == "stage":
             stages.append((when, f["stage"] if f["phase"] == 0 else len(day.rollout["caps"]), f))
-    trial = lambda t: next((f["build"] for when, _, f in reversed(stages) if when <= t and f["phase"] == 0), None)
+    trial = lambda t: next(
+        (f["build"] for when, _, f in reversed(stages) if when <= t and f["phase"] == 0), None
+    )
     for d in world.rows("dispatches"):
         slot = at(d["came"])
         table["trial" if d["build"] == trial(d["came"]) else "old"][slot] += 1
         if d["build"] in bad and d["outcome"] == "error" and ops[d["operation"]].effect != "idempotent":
             table["harm"][slot] += ops[d["operation"]].billed_value
     for when, stage, _ in stages:
-        table["stage"][at(when):] = stage
+        table["stage"][at(when) :] = stage
     alive = np.zeros(size)
     for n in sorted(world.rows("nodes"), key=lambda n: n["at"]):
-        alive[at(n["at"]):] += {"up": 1, "crashed": -1, "stopped": -1, "toppled": -1}.get(n["what"], 0)
+        alive[at(n["at"]) :] += {"up": 1, "crashed": -1, "stopped": -1, "toppled": -1}.get(n["what"], 0)
     table["open_nodes"] = alive
     verdict = world.verdict()
     last, delay = {}, []
@@ -159,18 +185,32 @@
             delay.append(when - day.offers[f["build"] - 2].at)
     good = [n + 2 for n, offer in enumerate(day.offers) if not offer.bad]
     asked = table["asked"].sum()
-    worst = np.convolve(table["earned"], np.ones(10), "valid") / np.maximum(
-        1e-9, np.convolve(table["asked"], np.ones(10), "valid")) if size >= 10 else np.array([np.nan])
+    worst = (
+        np.convolve(table["earned"], np.ones(10), "valid")
+        / np.maximum(1e-9, np.convolve(table["asked"], np.ones(10), "valid"))
+        if size >= 10
+        else np.array([np.nan])
+    )
     summary = dict(
-        service=service(facts, world.rows("tries")), worst=float(worst.min()), harm=float(table["harm"].sum() / max(1e-9, asked)),
+        service=service(facts, world.rows("tries")),
+        worst=float(worst.min()),
+        harm=float(table["harm"].sum() / max(1e-9, asked)),
         good_released=sum(last.get(b) == 2 for b in good) / len(good) if good else None,
-        bad_released=sum(any(f["build"] == b and f["phase"] == 2 for _, _, f in stages) for b in bad) / len(bad) if bad else None,
-        delay=float(np.mean(delay)) if delay else None, toppled=sum(n["what"] == "toppled" for n in world.rows("nodes")),
-        throttled=float(table["throttled"].sum()), terminated=float(table["terminated"].sum()),
-        tries=len(world.tries), dispatches=len(world.served), events=world.made,
+        bad_released=sum(any(f["build"] == b and f["phase"] == 2 for _, _, f in stages) for b in bad)
+        / len(bad)
+        if bad
+        else None,
+        delay=float(np.mean(delay)) if delay else None,
+        toppled=sum(n["what"] == "toppled" for n in world.rows("nodes")),
+        throttled=float(table["throttled"].sum()),
+        terminated=float(table["terminated"].sum()),
+        tries=len(world.tries),
+        dispatches=len(world.served),
+        events=world.made,
         broken={rule: len(stories) for rule, (_, stories) in verdict.items()},
         checked={rule: checked for rule, (checked, _) in verdict.items()},
-        story=[(round(when, 3), what, f) for when, what, f in world.story])
+        story=[(round(when, 3), what, f) for when, what, f in world.story],
+    )
     return table, summary
 
 
@@ -181,7 +221,8 @@
     took = time.process_time() - begun
     meta = dict(cell=cell, summary=summary, core=digest, text=experiment.text, took=round(took, 2))
     arrow = pa.table({c: pa.array(table[c], pa.float64()) for c in COLUMNS}).replace_schema_metadata(
-        {"gannet": json.dumps(meta, sort_keys=True)})
+        {"gannet": json.dumps(meta, sort_keys=True)}
+    )
     out = io.BytesIO()
     pq.write_table(arrow, out)
     return out.getvalue()
@@ -214,7 +255,9 @@
                 try:
                     data = future.result()
                 except Exception as trouble:  # noqa: BLE001 - a policy may raise anything: say in which cell
-                    raise BadExperiment(f"{experiment.path}: {missing[done - 1][0]}: {type(trouble).__name__}: {trouble}") from None
+                    raise BadExperiment(
+                        f"{experiment.path}: {missing[done - 1][0]}: {type(trouble).__name__}: {trouble}"
+                    ) from None
                 host.replace_file(path, data)
                 said(done, len(missing))
         except BaseException:
--- a/gannetfront/lab/report.py
+++ b/gannetfront/lab/report.py
@@ -1,4 +1,5 @@
 """What a folder of cells says: tables with intervals, plots, one self-contained page; and whether two folders differ."""
+
 import base64
 import html
 import io
@@ -9,7 +10,17 @@
 from .. import host
 from . import grid
 
-FIGURES = ("service", "worst", "harm", "delay", "good_released", "bad_released", "throttled", "terminated", "toppled")
+FIGURES = (
+    "service",
+    "worst",
+    "harm",
+    "delay",
+    "good_released",
+    "bad_released",
+    "throttled",
+    "terminated",
+    "toppled",
+)
 
 
 def cells(folder):
@@ -20,7 +31,11 @@
             found.append(grid.read(path))
         except Exception as trouble:  # noqa: BLE001 - any file may lie there
             bad.append(f"{path.name}: {type(trouble).__name__}")
-    key = lambda x: (x[1]["cell"]["policy"], [[numeric(v) for v in c] for c in x[1]["cell"]["changes"]], x[1]["cell"]["seed"])
+    key = lambda x: (
+        x[1]["cell"]["policy"],
+        [[numeric(v) for v in c] for c in x[1]["cell"]["changes"]],
+        x[1]["cell"]["seed"],
+    )
     return sorted(found, key=key), bad
 
 
@@ -32,8 +47,15 @@
 
 
 def label(cell):
-    return " ".join([cell["policy"], *(f"{v if f == '-' else f + '=' + v}" + (f" {line}" if f == "-" else "")
-                                       for line, f, v in cell["changes"])])
+    return " ".join(
+        [
+            cell["policy"],
+            *(
+                f"{v if f == '-' else f + '=' + v}" + (f" {line}" if f == "-" else "")
+                for line, f, v in cell["changes"]
+            ),
+        ]
+    )
 
 
 def interval(values, draws=2000):
@@ -56,8 +78,12 @@
 def means(lines):
     """Column means without the cells that have no figure there."""
     there = ~np.isnan(lines)
-    return np.divide(np.where(there, lines, 0.0).sum(axis=0), there.sum(axis=0),
-                     out=np.full(lines.shape[1], np.nan), where=there.any(axis=0))
+    return np.divide(
+        np.where(there, lines, 0.0).sum(axis=0),
+        there.sum(axis=0),
+        out=np.full(lines.shape[1], np.nan),
+        where=there.any(axis=0),
+    )
 
 
 def table(found):
@@ -65,13 +91,25 @@
     rows = []
     for name, some in groups(found).items():
         sums = [meta["summary"] for _, meta in some]
-        rows.append((name, len(some), {f: interval([s[f] for s in sums]) for f in FIGURES},
-                     sum(sum(s["broken"].values()) for s in sums)))
+        rows.append(
+            (
+                name,
+                len(some),
+                {f: interval([s[f] for s in sums]) for f in FIGURES},
+                sum(sum(s["broken"].values()) for s in sums),
+            )
+        )
     return rows
 
 
 def text(found):
-    shown = lambda x: "-" if x is None else f"{x[0]:.3f} [{x[1]:.3f}, {x[2]:.3f}]" if x[0] < 100 else f"{x[0]:.0f} [{x[1]:.0f}, {x[2]:.0f}]"
+    shown = lambda x: (
+        "-"
+        if x is None
+        else f"{x[0]:.3f} [{x[1]:.3f}, {x[2]:.3f}]"
+        if x[0] < 100
+        else f"{x[0]:.0f} [{x[1]:.0f}, {x[2]:.0f}]"
+    )
     lines = [" | ".join(["cells of", "seeds", *FIGURES, "rules broken"])]
     for name, many, figures, broken in table(found):
         lines.append(" | ".join([name, str(many), *(shown(figures[f]) for f in FIGURES), str(broken)]))
@@ -81,8 +119,10 @@
 def plots(found):
     """{name: PNG bytes}."""
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot as plt
+
     out, by = {}, groups(found)
 
     def done(name, figure):
@@ -135,29 +175,45 @@
     """One self-contained HTML page."""
     shown = lambda x: "-" if x is None else f"{x[0]:.3f}<br><small>{x[1]:.3f} to {x[2]:.3f}</small>"
     rows = "".join(
-        f"<tr><td>{html.escape(name)}<td>{many}" + "".join(f"<td>{shown(f[k])}" for k in FIGURES) + f"<td>{broken}"
-        for name, many, f, broken in table(found))
-    pictures = "".join(f"<h2>{html.escape(name)}</h2><img alt='{html.escape(name)}' src='data:image/png;base64,"
-                       f"{base64.b64encode(data).decode()}'>" for name, data in plots(found).items())
+        f"<tr><td>{html.escape(name)}<td>{many}"
+        + "".join(f"<td>{shown(f[k])}" for k in FIGURES)
+        + f"<td>{broken}"
+        for name, many, f, broken in table(found)
+    )
+    pictures = "".join(
+        f"<h2>{html.escape(name)}</h2><img alt='{html.escape(name)}' src='data:image/png;base64,"
+        f"{base64.b64encode(data).decode()}'>"
+        for name, data in plots(found).items()
+    )
     cores = sorted({meta["core"] for _, meta in found})
-    return (f"<!doctype html><meta charset=utf-8><title>{html.escape(title)}</title><style>body{{font:14px sans-serif;"
-            "margin:2em;max-width:75em}td,th{border:1px solid #ccc;padding:3px 6px;text-align:right}td:first-child{text-align:"
-            "left}table{border-collapse:collapse}img{max-width:100%}</style>"
-            f"<h1>{html.escape(title)}</h1><p>{len(found)} cells, simulated; core {', '.join(cores)}"
-            + ("" if len(cores) == 1 else " <b>(not one core: do not compare)</b>")
-            + "".join(f"<p>unreadable: {html.escape(b)}" for b in bad)
-            + "<table><tr><th>cells of<th>seeds" + "".join(f"<th>{f}" for f in FIGURES) + "<th>rules broken" + rows
-            + "</table>" + pictures)
+    return (
+        f"<!doctype html><meta charset=utf-8><title>{html.escape(title)}</title><style>body{{font:14px sans-serif;"
+        "margin:2em;max-width:75em}td,th{border:1px solid #ccc;padding:3px 6px;text-align:right}td:first-child{text-align:"
+        "left}table{border-collapse:collapse}img{max-width:100%}</style>"
+        f"<h1>{html.escape(title)}</h1><p>{len(found)} cells, simulated; core {', '.join(cores)}"
+        + ("" if len(cores) == 1 else " <b>(not one core: do not compare)</b>")
+        + "".join(f"<p>unreadable: {html.escape(b)}" for b in bad)
+        + "<table><tr><th>cells of<th>seeds"
+        + "".join(f"<th>{f}" for f in FIGURES)
+        + "<th>rules broken"
+        + rows
+        + "</table>"
+        + pictures
+    )
 
 
 def differ(a, b, figure):
     """Paired by changes and seed: [(label, pairs, mean of b - a, low, high)]; raises ValueError where none pair."""
-    values = lambda found: {(str(m["cell"]["changes"]), m["cell"]["policy"], m["cell"]["seed"]): (m, m["summary"][figure])
-                            for _, m in found}
+    values = lambda found: {
+        (str(m["cell"]["changes"]), m["cell"]["policy"], m["cell"]["seed"]): (m, m["summary"][figure])
+        for _, m in found
+    }
     one, two = values(a), values(b)
     policies = {k[1] for k in one}, {k[1] for k in two}
     if policies[0] != policies[1] and len(policies[0]) == len(policies[1]) == 1:
-        one, two = ({(c, "", s): x for (c, _, s), x in v.items()} for v in (one, two))     # policy against policy
+        one, two = (
+            {(c, "", s): x for (c, _, s), x in v.items()} for v in (one, two)
+        )  # policy against policy
     out = {}
     for key in one.keys() & two.keys():
         if one[key][1] is not None and two[key][1] is not None:
--- a/gannetfront/lab/sites.py
+++ b/gannetfront/lab/sites.py
@@ -2,6 +2,7 @@
 
 No members: a zone is told by its nodes alone, and nobody leads the return.
 """
+
 from .. import host
 from ..interface import CANCELLED, ERROR, GONE
 from ..sites.plan import Sites
@@ -17,9 +18,14 @@
         world = self.world
         sites, zone = Sites.of(world.facts), world.day.zones[self.zone]
         mates = len(range(self.zone, world.day.proxies, len(world.day.zones)))
-        self.stand = Stand(sites, list(world.day.operations), sites.work(sites.traffic[zone]) / mates, LOOK, world.time)
+        self.stand = Stand(
+            sites, list(world.day.operations), sites.work(sites.traffic[zone]) / mates, LOOK, world.time
+        )
         fleet = world.day.fleet
-        self.sight, self.listed = Sight(world.day.zones, zone, fleet["cold"], fleet["cold_for"], self.stand), {}
+        self.sight, self.listed = (
+            Sight(world.day.zones, zone, fleet["cold"], fleet["cold_for"], self.stand),
+            {},
+        )
         self.draw = host.Jitter(world.day.seed * 31 + self.number)
         super().start(kept)
         world.later(LOOK * self.draw.random(), self.look, self.lives)
@@ -43,8 +49,13 @@
         world, entries = self.world, list(self.listed.values())
         out = [(self.listed.get(flight.addr), flight.begun) for flight in self.flights.values()]
         for zone, addr in self.sight.to_ask(world.time, entries, out, self.draw.random):
-            place = world.by_addr.get(addr)     # answers as they would come, at once
-            fine = place is not None and place.state != "down" and not place.node.silent and not world.severed(place, self.number)
+            place = world.by_addr.get(addr)  # answers as they would come, at once
+            fine = (
+                place is not None
+                and place.state != "down"
+                and not place.node.silent
+                and not world.severed(place, self.number)
+            )
             self.sight.answered(world.time, zone, addr, fine, 1.0)
         _, moved, gone = self.sight.look(world.time, entries, {}, NOBODY)
         stage, _, _, _, ver, phase = world.stage_facts()
@@ -60,7 +71,9 @@
 
     def told_as(self, flight, status):
         entry = self.listed.get(flight.addr)
-        self.sight.saw(self.world.time, entry, status, self.world.time - flight.begun, flight.held.extra.intent.op["slo"])
+        self.sight.saw(
+            self.world.time, entry, status, self.world.time - flight.begun, flight.held.extra.intent.op["slo"]
+        )
         return self.sight.told(entry, status)
 
     def vote(self, stage, ver, verdict):
@@ -84,6 +97,7 @@
 
 class AwareWorld(World):
     """A World whose script has `sites`."""
+
     SHELL, FLIGHT, TRY = AwareShell, Flight, AwareTry
 
 
--- a/gannetfront/lab/town.py
+++ b/gannetfront/lab/town.py
@@ -1,4 +1,5 @@
 """Many members in virtual time, with faults between them: the production core, one heap of events, no sockets."""
+
 from heapq import heappop, heappush
 
 from ..faults.schedule import Schedule
@@ -6,7 +7,7 @@
 from ..host import Jitter
 from ..members.core import Members
 
-TRIP = 1.0      # ms that a datagram is on its way, beside what the schedule adds
+TRIP = 1.0  # ms that a datagram is on its way, beside what the schedule adds
 
 
 class Town:
@@ -15,7 +16,12 @@
 
     def __init__(self, roster, period=1000.0, seed=1, faults=()):
         self.now, self.heap, self.count, self.sent, self.bytes = 0.0, [], 0, {}, 0
-        self.schedule, self.roster, self.period, self.seed = Schedule(list(faults), seed), roster, period, seed
+        self.schedule, self.roster, self.period, self.seed = (
+            Schedule(list(faults), seed),
+            roster,
+            period,
+            seed,
+        )
         self.cores, self.held, self.lost, self.waiting, self.seen = {}, set(), set(), {}, []
         self.measure = None
         for number in roster:
@@ -44,7 +50,7 @@
     def go_on(self, number):
         self.held.discard(number)
         core = self.cores[number]
-        core.tick(self.now, Out(self, number))      # its own timer is first: it is long due
+        core.tick(self.now, Out(self, number))  # its own timer is first: it is long due
         for source, message in self.waiting.pop(number, ()):
             core.hear(self.now, source, message, Out(self, number))
 
@@ -87,7 +93,11 @@
         return found
 
     def agree(self, gone=()):
-        return all(set(core.alive()) == set(self.roster) - set(gone) for n, core in self.cores.items() if n not in self.lost)
+        return all(
+            set(core.alive()) == set(self.roster) - set(gone)
+            for n, core in self.cores.items()
+            if n not in self.lost
+        )
 
 
 class Council(Town):
@@ -99,11 +109,26 @@
 
     def make(self, number, chance):
         self.lives += 1
-        return Seat(Post("duty", number, self.lives, self.roster, self.electors, self.span, self.rate, chance, self.now, settle=self.settle),
-                    set(self.roster))
+        return Seat(
+            Post(
+                "duty",
+                number,
+                self.lives,
+                self.roster,
+                self.electors,
+                self.span,
+                self.rate,
+                chance,
+                self.now,
+                settle=self.settle,
+            ),
+            set(self.roster),
+        )
 
     def holders(self):
-        return [n for n, core in self.cores.items() if n not in self.lost and core.post.candidate.holds(self.now)]
+        return [
+            n for n, core in self.cores.items() if n not in self.lost and core.post.candidate.holds(self.now)
+        ]
 
 
 class Seat:
--- a/gannetfront/lab/world.py
+++ b/gannetfront/lab/world.py
@@ -4,14 +4,14 @@
 Events of one moment are played in the order in which they were made: the same script and seed give the same day, byte
 for byte. A dispatch costs a fixed number of events, an idle proxy next to none: cost grows with invocations.
 """
+
 from heapq import heappop, heappush
 
 from .. import host
 from ..audit.rules import Judge
 from ..balance import Balancer
 from ..config import load, schema_pb2 as schema
-from ..interface import (
-    CANCELLED, DRAINING, ERROR, FULL, GONE, READY, RESET, SUCCEEDED, TIMEOUT, UNCONNECTED)
+from ..interface import CANCELLED, DRAINING, ERROR, FULL, GONE, READY, RESET, SUCCEEDED, TIMEOUT, UNCONNECTED
 from ..kitchen.fleet import Fleet, Place
 from ..kitchen.model import REFUSED, TOPPLED, Job
 from ..load.arrivals import draw
@@ -20,8 +20,8 @@
 from ..release.stages import Stages
 from ..script import fleet_text
 
-LIST_EVERY = 100.0      # changes of the list are told together
-MARGIN = 20.0           # the proxy's answer margin
+LIST_EVERY = 100.0  # changes of the list are told together
+MARGIN = 20.0  # the proxy's answer margin
 CONTROL_EVERY = 25.0
 
 
@@ -37,7 +37,12 @@
         """A new process, with the list its disk kept."""
         self.lives += 1
         seed = self.world.day.seed * 1000 + self.number + 7919 * (self.lives - 1)
-        self.carrier, self.up, self.flights, self.poked = Carrier(lambda: self.make(self.number, seed), self), True, {}, False
+        self.carrier, self.up, self.flights, self.poked = (
+            Carrier(lambda: self.make(self.number, seed), self),
+            True,
+            {},
+            False,
+        )
         self.tell("listed", "kept", kept)
         if not self.cut():
             self.tell("listed", "whole", tuple(self.world.entries.values()))
@@ -149,7 +154,15 @@
             world.later(world.wire(), world.drop, self.place, self.job)
         if status == SUCCEEDED:
             shell.carrier.end(self.held, SUCCEEDED)
-        shell.carrier.landed(self.held, self.seq, shell.carrier.life, self.addr, shell.told_as(self, status), world.time - self.begun, load or {})
+        shell.carrier.landed(
+            self.held,
+            self.seq,
+            shell.carrier.life,
+            self.addr,
+            shell.told_as(self, status),
+            world.time - self.begun,
+            load or {},
+        )
         shell.poke()
 
 
@@ -176,8 +189,15 @@
             a, world = self.arrival, self.world
             left = max(0.0, min(self.patience, self.intent.op["limit"]) - MARGIN - world.near)
             self.held = self.shell.carrier.take(
-                world.op_of[a.operation], world.tenant_of.get(a.tenant.rpartition("-")[0] or a.tenant, world.tenant_of.get(a.tenant, 0)) if a.tenant else 0, a.key or None,
-                world.time + left, left, self)
+                world.op_of[a.operation],
+                world.tenant_of.get(a.tenant.rpartition("-")[0] or a.tenant, world.tenant_of.get(a.tenant, 0))
+                if a.tenant
+                else 0,
+                a.key or None,
+                world.time + left,
+                left,
+                self,
+            )
             self.shell.poke()
 
     def leave(self):
@@ -198,8 +218,25 @@
             return
         self.over = True
         world, a = self.world, self.arrival
-        world.tries.append((self.request, str(a.nth), a.proxy, a.operation, a.tenant, world.mark(a), a.due, self.sent,
-                            self.patience, world.time, answer, 0, advice, self.intent.nth, 0))
+        world.tries.append(
+            (
+                self.request,
+                str(a.nth),
+                a.proxy,
+                a.operation,
+                a.tenant,
+                world.mark(a),
+                a.due,
+                self.sent,
+                self.patience,
+                world.time,
+                answer,
+                0,
+                advice,
+                self.intent.nth,
+                0,
+            )
+        )
         wait = self.intent.again(world.time, answer, advice)
         if wait is not None:
             world.later(wait, world.TRY, world, self.intent)
@@ -225,6 +262,7 @@
             zone = day.zones[number % len(day.zones)]
             deployments.setdefault((zone, number), load.deployment(self.facts, number, zone, 5.0))
             return make(seed, deployments[zone, number])
+
         self.proxies = [self.SHELL(self, n, one) for n in range(day.proxies)]
         rollout = load.deployment(self.facts, 0, "", 1.0).rollout
         rollout.__dict__["vote_allowance"] = self.facts.rollout.vote_allowance
@@ -321,19 +359,29 @@
     def send(self, flight):
         place = self.by_addr.get(flight.addr)
         lag = self.lag(place, flight.shell.number) if place else 0.0
-        self.later(self.wire(flight.shell.zone, place.zone if place else None) + lag, self.reach, flight, place, lag)
+        self.later(
+            self.wire(flight.shell.zone, place.zone if place else None) + lag, self.reach, flight, place, lag
+        )
 
     def reach(self, flight, place, lag):
         shell = flight.shell
         if flight.over:
-            return      # called off before it left its proxy's machine
+            return  # called off before it left its proxy's machine
         if place is None or place.state == "down" or place.at != flight.addr:
             self.later(self.same, flight.land, UNCONNECTED)
             return
         held = flight.held
         a = held.extra.arrival
-        job = Job(held.extra.request, shell.name, flight.seq, a.operation, self.effects[a.operation], self.mark(a), a.work,
-                  self.time)
+        job = Job(
+            held.extra.request,
+            shell.name,
+            flight.seq,
+            a.operation,
+            self.effects[a.operation],
+            self.mark(a),
+            a.work,
+            self.time,
+        )
         job.flight, job.lag = flight, lag
         flight.job, flight.place = job, place
         if place.node.silent or self.severed(place, shell.number):
@@ -354,7 +402,9 @@
     def meet(self, place, job):
         if self.day.fleet["connections"]:
             # Kept open for as long as the proxies keep theirs: whoever sent within ten seconds.
-            place.streams = {n: t for n, t in place.streams.items() if t > self.time - 10000} if place.streams else {}
+            place.streams = (
+                {n: t for n, t in place.streams.items() if t > self.time - 10000} if place.streams else {}
+            )
             place.streams[job.proxy] = self.time
             place.node.connected = len(place.streams)
         verdict, begun = self.met(place, job)
@@ -373,8 +423,12 @@
             self.later(50.0, self.reply, place, job, status)
             return
         queue, inflight = self.load(place)
-        self.later(self.wire(place.zone, job.flight.shell.zone) + job.lag, job.flight.land, status,
-                   {"queue": float(queue), "inflight": float(inflight)})
+        self.later(
+            self.wire(place.zone, job.flight.shell.zone) + job.lag,
+            job.flight.land,
+            status,
+            {"queue": float(queue), "inflight": float(inflight)},
+        )
 
     def finish(self, place, node, job):
         if place.node is not node or id(job) not in place.jobs:
@@ -401,10 +455,31 @@
                 self.later(one.ends - self.time, self.finish, place, place.node, one)
 
     def row(self, place, job, outcome, effect):
-        self.served.append((job.request, job.proxy, job.seq, job.op, job.mark, place.at, place.incarnation, place.build,
-                            place.zone, place.cell, job.came, job.began, self.time, outcome, effect, job.work))
-        if self.day.rollout["tally"] and outcome in ("ok", "error") and (
-                self.chance.random() < self.day.rollout["tally_share"]):
+        self.served.append(
+            (
+                job.request,
+                job.proxy,
+                job.seq,
+                job.op,
+                job.mark,
+                place.at,
+                place.incarnation,
+                place.build,
+                place.zone,
+                place.cell,
+                job.came,
+                job.began,
+                self.time,
+                outcome,
+                effect,
+                job.work,
+            )
+        )
+        if (
+            self.day.rollout["tally"]
+            and outcome in ("ok", "error")
+            and (self.chance.random() < self.day.rollout["tally_share"])
+        ):
             sums = self.sampled.setdefault((place.build, self.op_of[job.op]), [0, 0, 0.0])
             sums[0] += 1
             sums[1] += outcome == "error"
@@ -423,8 +498,21 @@
 
     def note(self, place, what):
         node = place.node
-        self.lives.append((self.time, place.at, place.slot, place.incarnation, place.build, place.zone, place.cell, what,
-                           node.cores * node.speed, 1.0 if node.warm else node.cold, 0.0 if node.warm else node.cold_for))
+        self.lives.append(
+            (
+                self.time,
+                place.at,
+                place.slot,
+                place.incarnation,
+                place.build,
+                place.zone,
+                place.cell,
+                what,
+                node.cores * node.speed,
+                1.0 if node.warm else node.cold,
+                0.0 if node.warm else node.cold_for,
+            )
+        )
 
     def down(self, place, what, told):
         if place.state == "down":
@@ -477,7 +565,9 @@
         if life == shell.lives and shell.up:
             shell.tell("listed", "changes", tuple(entry for entry, _ in changes))
             for e, incarnation in changes:
-                self.told.append((self.time, str(shell.number), "node", False, 0, e[0], incarnation, e[2], e[5], 0, 0.0, 0))
+                self.told.append(
+                    (self.time, str(shell.number), "node", False, 0, e[0], incarnation, e[2], e[5], 0, 0.0, 0)
+                )
 
     def resume(self, trouble):
         """After a cut: what was missed, as a whole list, and the stage."""
@@ -492,7 +582,9 @@
         self.told.append((self.time, str(shell.number), "whole", True, 0, "", 0, 0, "", 0, 0.0, 0))
         of = {addr: incarnation for addr, incarnation in self.listed_as.values()}
         for e in self.entries.values():
-            self.told.append((self.time, str(shell.number), "node", True, 0, e[0], of.get(e[0], 0), e[2], e[5], 0, 0.0, 0))
+            self.told.append(
+                (self.time, str(shell.number), "node", True, 0, e[0], of.get(e[0], 0), e[2], e[5], 0, 0.0, 0)
+            )
         self.tell_stage(shell, shell.lives)
 
     # ---- the controller ----
@@ -543,8 +635,22 @@
         if life == shell.lives and shell.up:
             facts = facts or self.stage_facts()
             shell.tell("stage_told", False, *facts)
-            self.told.append((self.time, str(shell.number), "stage", False, 0, "", 0, facts[4], "", facts[0], facts[2],
-                              facts[5]))
+            self.told.append(
+                (
+                    self.time,
+                    str(shell.number),
+                    "stage",
+                    False,
+                    0,
+                    "",
+                    0,
+                    facts[4],
+                    "",
+                    facts[0],
+                    facts[2],
+                    facts[5],
+                )
+            )
 
     def answer(self, proxy, life, status):
         shell, facts = self.proxies[proxy], self.stage_facts()
@@ -566,9 +672,14 @@
 
     def verdict(self):
         """The five rules on this day: {rule: (checked, stories)}. The wire here takes under a millisecond."""
-        return Judge(self.facts, *map(self.rows, ("tries", "dispatches", "nodes", "told", "events")), 20.0, 1.0).verdict()
+        return Judge(
+            self.facts, *map(self.rows, ("tries", "dispatches", "nodes", "told", "events")), 20.0, 1.0
+        ).verdict()
 
     def rows(self, name):
         from ..records import NAMES
-        source = dict(tries=self.tries, dispatches=self.served, nodes=self.lives, told=self.told, events=self.events)[name]
+
+        source = dict(
+            tries=self.tries, dispatches=self.served, nodes=self.lives, told=self.told, events=self.events
+        )[name]
         return [dict(zip(NAMES[name], row)) for row in source]
--- a/gannetfront/load/arrivals.py
+++ b/gannetfront/load/arrivals.py
@@ -1,10 +1,11 @@
 """The day's arrivals, drawn ahead from the script's seed: open loop, so that a slow fleet is asked no less. No I/O."""
+
 from math import log, sqrt
 
 from .. import host
 
-STEP = 10.0     # ms
-TAIL = 2.2      # of the heavy law: a mean and a variance, but no third moment
+STEP = 10.0  # ms
+TAIL = 2.2  # of the heavy law: a mean and a variance, but no third moment
 
 
 class Arrival:
@@ -53,12 +54,16 @@
                 work = op["work"] * (TAIL - 1) / TAIL * (1 + float(chance.pareto(TAIL)))
             else:
                 sigma = sqrt(log(1 + op["cv"] ** 2))
-                work = float(chance.lognormal(log(op["work"]) - sigma ** 2 / 2, sigma))
+                work = float(chance.lognormal(log(op["work"]) - sigma**2 / 2, sigma))
             share, leave = traffic["patience"], traffic["leave"]
             for trouble in day.during("give_up", at):
                 share, leave = trouble.patience, trouble.leave
             patience = op["limit"] * (share + (1 - share) * chance.random())
             leaves = 0.5 * patience * chance.random() if chance.random() < leave else None
             key = f"k{int(chance.integers(traffic['keys']))}" if traffic["keys"] else ""
-            out.append(Arrival(len(out), at + STEP * chance.random(), proxy, name, tenant, key, work, patience, leaves))
+            out.append(
+                Arrival(
+                    len(out), at + STEP * chance.random(), proxy, name, tenant, key, work, patience, leaves
+                )
+            )
     return sorted(out, key=lambda a: a.due)
--- a/gannetfront/load/retry.py
+++ b/gannetfront/load/retry.py
@@ -1,6 +1,6 @@
 """When a client tries again. No I/O: on sockets and in virtual time alike."""
 
-LINGER = 1500.0     # a client listens on for so long past its patience, to see an answer that comes too late
+LINGER = 1500.0  # a client listens on for so long past its patience, to see an answer that comes too late
 
 
 class Intent:
@@ -24,7 +24,8 @@
         failed = answer not in ("succeeded", "left")
         remembered = self.op["group"] == "all" and now < self.first + self.op["window"] - 2 * LINGER
         may = {"idempotent": failed, "fingerprinted": answer == "throttled" or failed and remembered}.get(
-            self.op["effect"], answer == "throttled") or answer == "unreachable"
+            self.op["effect"], answer == "throttled"
+        ) or answer == "unreachable"
         if not may or self.nth > most:
             return None
         wait = 0.0 if abuse else self.day.traffic["backoff"] * (0.5 + self.chance.random())
--- a/gannetfront/logs.py
+++ b/gannetfront/logs.py
@@ -1,4 +1,5 @@
 """Logs of every program: JSON lines on standard error."""
+
 import logging
 import sys
 
@@ -7,8 +8,13 @@
 
 def logs(program, level):
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr), cache_logger_on_first_use=True)
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
     return structlog.get_logger().bind(program=program)
--- a/gannetfront/members/core.py
+++ b/gannetfront/members/core.py
@@ -7,16 +7,17 @@
 A view is a hint: it makes things quick, nothing that must be safe rests on it. Times are ms of any clock that does not step back.
 What is sent in a second does not grow with the fleet: a probe and its answer, and the answer to a probe, each with a few news.
 """
+
 from math import log, log2
 
-ALIVE, SUSPECT, GONE, LEFT = 0, 1, 2, 3         # in the order in which one outweighs another of the same incarnation
+ALIVE, SUSPECT, GONE, LEFT = 0, 1, 2, 3  # in the order in which one outweighs another of the same incarnation
 PING, ACK, ASK, NACK = 0, 1, 2, 3
-NEWS = 12               # of a datagram: with them it stays under 256 bytes
-ASKED = 3               # members that probe for one who got no answer
-WORST = 8               # of local health: waits are that many times longer
-GONE_EVERY = 4          # periods from one probe of a member that is gone to the next: cut sides find each other again
-SHARED = 3              # confirmations after which a suspicion is as short as it gets
-LONG = 6.0              # times that the longest suspicion is the shortest
+NEWS = 12  # of a datagram: with them it stays under 256 bytes
+ASKED = 3  # members that probe for one who got no answer
+WORST = 8  # of local health: waits are that many times longer
+GONE_EVERY = 4  # periods from one probe of a member that is gone to the next: cut sides find each other again
+SHARED = 3  # confirmations after which a suspicion is as short as it gets
+LONG = 6.0  # times that the longest suspicion is the shortest
 
 
 class Member:
@@ -24,7 +25,7 @@
 
     def __init__(self, zone, now):
         self.zone, self.state, self.incarnation, self.since, self.heard = zone, ALIVE, 0, now, None
-        self.sharers, self.told = set(), 0      # who says so too; how often the news of it was passed on
+        self.sharers, self.told = set(), 0  # who says so too; how often the news of it was passed on
 
 
 class Members:
@@ -36,10 +37,10 @@
         self.members = {n: Member(zone, now) for n, zone in sorted(roster.items())}
         self.members[me].heard = now
         self.health, self.seq, self.turn, self.due, self.order = 0, 0, 0, now + chance.random() * period, []
-        self.probe = None               # (member, seq, sent, asked others at)
-        self.for_others, self.acked, self.tried = {}, None, 0   # seq of ours -> (who asked, their seq, until)
+        self.probe = None  # (member, seq, sent, asked others at)
+        self.for_others, self.acked, self.tried = {}, None, 0  # seq of ours -> (who asked, their seq, until)
         self.leaving, self.suspects = False, set()
-        self.news = {}                  # number -> times passed on
+        self.news = {}  # number -> times passed on
 
     # ---- what follows from the fleet's size ----
 
@@ -64,11 +65,15 @@
         """To be called at `due_at()`, or later: then this one was held up, and trusts its own suspicions less."""
         if now - self.due_at() > self.period:
             self.worse()
-            if self.probe:      # the answer may lie unread: it is asked anew, not counted
+            if self.probe:  # the answer may lie unread: it is asked anew, not counted
                 self.probe = None
             for number in self.suspects:
                 self.members[number].since = now
-        if self.probe and self.probe[3] is None and now >= self.probe[2] + self.patience() * 0.3 * self.period:
+        if (
+            self.probe
+            and self.probe[3] is None
+            and now >= self.probe[2] + self.patience() * 0.3 * self.period
+        ):
             self.ask_others(now, out)
         for number in sorted(self.suspects):
             one = self.members[number]
@@ -88,8 +93,11 @@
     def begin_probe(self, now, out):
         self.turn += 1
         self.due = now + self.period * (0.9 + 0.2 * self.chance.random())
-        gone = [n for n, m in self.members.items() if m.state in (GONE, LEFT) and n != self.me] if (
-            self.turn % GONE_EVERY == 0) else ()
+        gone = (
+            [n for n, m in self.members.items() if m.state in (GONE, LEFT) and n != self.me]
+            if (self.turn % GONE_EVERY == 0)
+            else ()
+        )
         if gone:
             # Whether it is back is worth a look; that it is not says nothing new.
             return self.send(out, gone[int(self.chance.random() * len(gone))], PING, self.number(), None)
@@ -163,8 +171,13 @@
         if one is None:
             return
         if number == self.me:
-            if state in (SUSPECT, GONE) and incarnation >= one.incarnation or state == LEFT and not self.leaving \
-                    and incarnation >= one.incarnation:
+            if (
+                state in (SUSPECT, GONE)
+                and incarnation >= one.incarnation
+                or state == LEFT
+                and not self.leaving
+                and incarnation >= one.incarnation
+            ):
                 # Not so; and who is taken for gone may be the one that is slow.
                 self.worse()
                 one.incarnation = incarnation + 1
@@ -178,7 +191,7 @@
             self.set(now, number, state, incarnation, out, source)
         elif state == SUSPECT == one.state and incarnation == one.incarnation and source not in one.sharers:
             if len(one.sharers) < SHARED:
-                self.news[number] = 0       # a new voice is news of its own
+                self.news[number] = 0  # a new voice is news of its own
             one.sharers.add(source)
 
     def set(self, now, number, state, incarnation, out, by=None):
@@ -201,13 +214,15 @@
         other = self.members[to]
         if other.state != ALIVE and to not in picked:
             # Who is suspected, or speaks though it is gone, must hear of it, or it could not say that it is wrong.
-            picked = [to, *picked[:NEWS - 1]]
+            picked = [to, *picked[: NEWS - 1]]
         for number in picked:
             if number in self.news:
                 self.news[number] += 1
                 if self.news[number] >= self.passes():
                     del self.news[number]
-        out.send(to, (kind, seq, about, [(n, self.members[n].state, self.members[n].incarnation) for n in picked]))
+        out.send(
+            to, (kind, seq, about, [(n, self.members[n].state, self.members[n].incarnation) for n in picked])
+        )
 
     def leave(self, now, out):
         """An orderly end: told to a few at once, by whom all hear of it; nobody has to suspect."""
@@ -228,7 +243,11 @@
         for number, m in self.members.items():
             if number != self.me:
                 alive, heard, every = found.get(m.zone, (0, 0, 0))
-                found[m.zone] = alive + (m.state in (ALIVE, SUSPECT)), heard + (m.heard is not None and now - m.heard < span), every + 1
+                found[m.zone] = (
+                    alive + (m.state in (ALIVE, SUSPECT)),
+                    heard + (m.heard is not None and now - m.heard < span),
+                    every + 1,
+                )
         return found
 
     def standing(self, now):
@@ -246,5 +265,9 @@
                 silent[zone] = least
         unanswered = now - (self.began if self.acked is None else self.acked)
         alone = quiet if others and quiet > span else None
-        return dict(gone=[n for n, m in self.members.items() if m.state == GONE], zones={} if alone else silent, alone=alone,
-                    unheard=unanswered if others and alone is None and unanswered > span and self.tried > 2 else None)
+        return dict(
+            gone=[n for n, m in self.members.items() if m.state == GONE],
+            zones={} if alone else silent,
+            alone=alone,
+            unheard=unanswered if others and alone is None and unanswered > span and self.tried > 2 else None,
+        )
--- a/gannetfront/parquet.py
+++ b/gannetfront/parquet.py
@@ -3,6 +3,7 @@
 `pyarrow.parquet.read_table` takes the reader of data sets, whose pool of threads is still at work when the process ends: one run in ten to
 twenty ended by SIGABRT ("terminate called without an active exception") after all of its output (docs/incidents/abort-after-verdict.md).
 """
+
 import pyarrow.parquet as pq
 
 
--- a/gannetfront/proxy/carrier.py
+++ b/gannetfront/proxy/carrier.py
@@ -7,12 +7,13 @@
   ended(held, kind, facts)         the one final answer stands
   vote, signal, reload, close_idle, line       as the Writer's, `line` for its log
 """
+
 from heapq import heappop, heappush
 
 from ..interface import MOOT
 
 
-class Held:     # an invocation that is owed its answer
+class Held:  # an invocation that is owed its answer
     __slots__ = "ident", "op", "deadline", "seq", "answer", "extra"
 
     def __init__(self, ident, op, deadline, extra):
@@ -53,7 +54,9 @@
     def landed(self, held, seq, life, addr, status, took, load):
         """The outcome of a dispatch; one of an earlier life is nobody's."""
         if life == self.life:
-            self.events.append(("outcome", held.ident, seq, addr, status, took, held.answer is not None, load))
+            self.events.append(
+                ("outcome", held.ident, seq, addr, status, took, held.answer is not None, load)
+            )
 
     def stands(self, held, seq, life, now):
         """Whether a dispatch that waited for something is still to be sent: asked right before its first byte."""
--- a/gannetfront/proxy/clients.py
+++ b/gannetfront/proxy/clients.py
@@ -1,15 +1,20 @@
 """The client side of the proxy: requests read, held while the decisions work, answered once."""
+
 from .. import host
 from ..interface import SUCCEEDED
 from ..tenants.tenancy import LATER, UNKNOWN
 from ..wire import http, invocation
 
-MAX_PIPELINED = 16      # requests read ahead on one connection
-READ_AHEAD = 65536       # bytes kept of what comes behind those, or behind what is bad, so that the client's close is still seen
-MAX_LINGERING, LINGER_TIMEOUT, LINGER_SIZE = 64, 2000.0, 1 << 20      # connections, ms and bytes read behind a last answer
+MAX_PIPELINED = 16  # requests read ahead on one connection
+READ_AHEAD = 65536  # bytes kept of what comes behind those, or behind what is bad, so that the client's close is still seen
+MAX_LINGERING, LINGER_TIMEOUT, LINGER_SIZE = (
+    64,
+    2000.0,
+    1 << 20,
+)  # connections, ms and bytes read behind a last answer
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-LATER_IN = 1000.0       # ms after which one that waits for a younger view may come back
-WRITE_TIMEOUT = 5000.0    # a client that does not read its answer for so long is cut off
+LATER_IN = 1000.0  # ms after which one that waits for a younger view may come back
+WRITE_TIMEOUT = 5000.0  # a client that does not read its answer for so long is cut off
 
 
 class Clients:
@@ -29,7 +34,7 @@
             if self.converse(stream):
                 close = lambda: self.lingering.close(stream)
         except (OSError, host.Timeout):
-            pass    # a client that broke off or does not read: nobody is there to be told
+            pass  # a client that broke off or does not read: nobody is there to be told
         finally:
             close()
             self.open.discard(stream)
@@ -55,7 +60,10 @@
                     data = stream.recv(65536, left)
                 except host.Timeout:
                     if reader.begun:
-                        stream.send(invocation.rejected(http.BadRequest(408, "the request was not whole in time")), 100)
+                        stream.send(
+                            invocation.rejected(http.BadRequest(408, "the request was not whole in time")),
+                            100,
+                        )
                     return reader.begun
                 if not data:
                     return False
@@ -105,12 +113,22 @@
             return invocation.throttled(0, False, b"throttled: this proxy is stopping\n"), False, False, None
         if verdict == LATER:
             # Nothing ran, and the directory may know better soon.
-            return invocation.throttled(LATER_IN, keep, b"throttled: the list of tenants is too old for this\n"), keep, False, None
+            return (
+                invocation.throttled(LATER_IN, keep, b"throttled: the list of tenants is too old for this\n"),
+                keep,
+                False,
+                None,
+            )
         # By its mark: a key is shared by all that belongs together, and would make of every caller one that comes again.
         self.rounds.watch.asked(host.now(), mark)
         held = self.rounds.take(op, tenant, key, max(0.0, left), url, headers, body)
         if held is None:
-            return invocation.throttled(self.rounds.wait, keep, b"throttled: %s\n" % self.rounds.why), keep, False, None
+            return (
+                invocation.throttled(self.rounds.wait, keep, b"throttled: %s\n" % self.rounds.why),
+                keep,
+                False,
+                None,
+            )
         held.extra.gone = stream.ended
         gone, worse = self.wait(stream, reader, held, margin)
         if gone:
--- a/gannetfront/proxy/flights.py
+++ b/gannetfront/proxy/flights.py
@@ -4,6 +4,7 @@
 out and anything but a whole answer: it may have run. Under a protocol whose nodes begin at the last byte (the reader's
 `begins_whole`) that byte is the one that counts. The protocol itself is the reader's.
 """
+
 from .. import host
 from ..interface import CANCELLED, FULL, MOOT, RESET, TIMEOUT, UNCONNECTED
 from ..wire import BadAnswer
@@ -43,7 +44,12 @@
                 # The one place that looks again right before the first byte. While a disk or a connection was waited for, the
                 # client may have left, the node been told to end, its name become another process's, the build been taken
                 # back, its share of the traffic used up; and what the node is told of the time is what is left by now.
-                if self.stop.ready() or pool.retired or self.left() <= 0 or not self.stands(fresh or self.waited):
+                if (
+                    self.stop.ready()
+                    or pool.retired
+                    or self.left() <= 0
+                    or not self.stands(fresh or self.waited)
+                ):
                     unused = True
                     return MOOT, None
                 status, answer = self.exchange(stream, self.pack(self.left()))
@@ -55,7 +61,11 @@
                 return status, answer
 
     def exchange(self, stream, data):
-        stream.sent, self.heard, unsent = 0, False, lambda: stream.sent < (len(data) if self.reader.begins_whole else 1)
+        stream.sent, self.heard, unsent = (
+            0,
+            False,
+            lambda: stream.sent < (len(data) if self.reader.begins_whole else 1),
+        )
         try:
             if not stream.send_or(self.stop, data, max(1.0, self.left())):
                 stream.reset()
@@ -82,5 +92,5 @@
             if not came and not reader.whole:
                 return RESET, None
         if stream.sent < len(data):
-            reader.extra = True     # the node still owes the rest a reading: its connection is not used again
+            reader.extra = True  # the node still owes the rest a reading: its connection is not used again
         return reader.outcome(), reader
--- a/gannetfront/proxy/keeping.py
+++ b/gannetfront/proxy/keeping.py
@@ -6,16 +6,36 @@
 for a reason of their own: then more are made anew, which costs handshakes. Samples are the last few of each age and expire, so
 that a longer idling is tried again.
 """
+
 from collections import deque
 
-AGES = 20.0, 40.0, 80.0, 160.0, 320.0, 640.0, 1280.0, 2560.0, 5120.0, 10240.0   # ms idle; each a class up to the next
-KEPT, MEMORY = 24, 10000.0      # samples a class, and how long each speaks
-MARGIN, LEAST = 0.1, 2          # share of breaks above new connections' own, and breaks, before a class is not trusted
+AGES = (
+    20.0,
+    40.0,
+    80.0,
+    160.0,
+    320.0,
+    640.0,
+    1280.0,
+    2560.0,
+    5120.0,
+    10240.0,
+)  # ms idle; each a class up to the next
+KEPT, MEMORY = 24, 10000.0  # samples a class, and how long each speaks
+MARGIN, LEAST = (
+    0.1,
+    2,
+)  # share of breaks above new connections' own, and breaks, before a class is not trusted
 
 
 class Keeping:
     def __init__(self):
-        self.new, self.classes, self.limit, self.at = deque(maxlen=4 * KEPT), [deque(maxlen=KEPT) for _ in AGES], 1e18, 0.0
+        self.new, self.classes, self.limit, self.at = (
+            deque(maxlen=4 * KEPT),
+            [deque(maxlen=KEPT) for _ in AGES],
+            1e18,
+            0.0,
+        )
 
     def saw(self, now, age, broke):
         """A request on a connection that had idled for `age` ms, or on a new one (None), ended by a break or not."""
@@ -24,7 +44,7 @@
             return
         self.classes[sum(age >= least for least in AGES) - 1].append((now, broke))
         if broke:
-            self.at = 0.0       # looked at again at once
+            self.at = 0.0  # looked at again at once
 
     def trusted(self, now):
         """Ms that a connection may have idled."""
--- a/gannetfront/proxy/kept.py
+++ b/gannetfront/proxy/kept.py
@@ -3,6 +3,7 @@
 Ages cross the wire, the decisions want the clock time of a start: it is worked out once for each incarnation, so that
 one process keeps one start time whichever list names it.
 """
+
 import xxhash
 
 from ..interface import DRAINING, GONE, READY
@@ -31,7 +32,7 @@
             self.nodes = {}
         elif (listed.epoch, listed.revision) != (self.epoch, self.revision + 1):
             if listed.epoch == self.epoch and listed.revision <= self.revision:
-                return "changes", ()    # told twice
+                return "changes", ()  # told twice
             return None
         self.revision, self.epoch = listed.revision, listed.epoch
         entries = tuple(self.entry(node, now) for node in listed.nodes)
@@ -44,9 +45,25 @@
         return "whole" if listed.whole else "changes", entries
 
     def pack(self, now):
-        listed = NodeList(revision=self.revision, epoch=self.epoch, whole=True, nodes=[
-            Node(id=e[0], zone=e[1], build=e[2], kind=e[3], cell=e[4], state=WORDS[e[5]], heft=e[6],
-                 age=now - e[7] if e[7] else -1.0, incarnation=inc) for e, inc in self.nodes.values()])
+        listed = NodeList(
+            revision=self.revision,
+            epoch=self.epoch,
+            whole=True,
+            nodes=[
+                Node(
+                    id=e[0],
+                    zone=e[1],
+                    build=e[2],
+                    kind=e[3],
+                    cell=e[4],
+                    state=WORDS[e[5]],
+                    heft=e[6],
+                    age=now - e[7] if e[7] else -1.0,
+                    incarnation=inc,
+                )
+                for e, inc in self.nodes.values()
+            ],
+        )
         data = listed.SerializeToString()
         return MAGIC + xxhash.xxh64(data).digest() + data
 
@@ -54,7 +71,7 @@
         """Takes up what `pack` wrote; False for a torn or foreign file, which is as good as none."""
         if not data or not data.startswith(MAGIC) or len(data) < len(MAGIC) + 8:
             return False
-        digest, body = data[len(MAGIC):len(MAGIC) + 8], data[len(MAGIC) + 8:]
+        digest, body = data[len(MAGIC) : len(MAGIC) + 8], data[len(MAGIC) + 8 :]
         if xxhash.xxh64(body).digest() != digest:
             return False
         self.take(NodeList.FromString(body), now)
--- a/gannetfront/proxy/links.py
+++ b/gannetfront/proxy/links.py
@@ -1,10 +1,11 @@
 """The proxy's link to the controllers: the control stream, which resumes."""
+
 from .. import host
 from ..interface import ERROR, FULL, MOOT, SUCCEEDED, TIMEOUT
 from ..wire import control_pb2 as c, frames
 
 STATUS = {c.OK: SUCCEEDED, c.MOOT: MOOT, c.FULL: FULL, c.ERROR: ERROR}
-ALIVE, LOST = 1000.0, 4000.0    # says something this often; a peer silent for so long is gone
+ALIVE, LOST = 1000.0, 4000.0  # says something this often; a peer silent for so long is gone
 
 
 class Outdated(Exception):
@@ -33,8 +34,13 @@
     by `what` in the log."""
 
     def __init__(self, to, log, chance, what, most=1024):
-        self.most = most        # frames that wait to be sent
-        self.to, self.log, self.chance, self.what = [to] if isinstance(to, str) else list(to), log, chance, what
+        self.most = most  # frames that wait to be sent
+        self.to, self.log, self.chance, self.what = (
+            [to] if isinstance(to, str) else list(to),
+            log,
+            chance,
+            what,
+        )
         self.out, self.up, self.turned_away, self.stream = None, False, False, None
 
     def turn_to(self, address):
@@ -58,7 +64,7 @@
                 used = self.talk(stream) and not self.turned_away
             if used:
                 wait = 50.0
-            else:       # a standby turns callers away: the one that acts is another
+            else:  # a standby turns callers away: the one that acts is another
                 at = (at + 1) % len(self.to)
             # Spread, so that hundreds of proxies cut off together do not come back together.
             host.sleep(wait * (0.5 + self.chance.random()))
@@ -88,7 +94,9 @@
         except frames.BadFrame as trouble:
             self.log.error(f"{self.what} sent garbage", why=str(trouble))
         except Outdated as trouble:
-            self.log.error(f"{self.what} of an earlier turn refused", told=trouble.told, newest=trouble.newest)
+            self.log.error(
+                f"{self.what} of an earlier turn refused", told=trouble.told, newest=trouble.newest
+            )
             self.turned_away = True
         except OSError as trouble:
             self.log.info(f"{self.what} broke", why=str(trouble))
@@ -118,6 +126,7 @@
         except (OSError, host.Timeout):
             stream.close()
 
+
 class ControlLink(StreamLink):
     """To the controller: what it is told becomes events for `tell`; votes get their answer from there, from the clock
     (`answer_wait`) or at once when the link is down."""
@@ -131,12 +140,17 @@
 
     def hello(self):
         self.epochs.newest = max(self.epochs.newest, self.kept.epoch)
-        return c.Hello(role=c.PROXY, id=str(self.me), revision=self.kept.revision, epoch=self.kept.epoch,
-                       signal_address=self.signal_address)
+        return c.Hello(
+            role=c.PROXY,
+            id=str(self.me),
+            revision=self.kept.revision,
+            epoch=self.kept.epoch,
+            signal_address=self.signal_address,
+        )
 
     def lost(self):
         for number in list(self.waiting):
-            self.answered(number, TIMEOUT)      # it may have been heard
+            self.answered(number, TIMEOUT)  # it may have been heard
 
     # ---- what is told ----
 
@@ -164,7 +178,9 @@
     def vote(self, stage, ver, verdict, figures=""):
         self.number += 1
         number = self.number
-        packed = frames.pack(vote=c.Vote(number=number, stage=stage, ver=ver, verdict=verdict, figures=figures[:400]))
+        packed = frames.pack(
+            vote=c.Vote(number=number, stage=stage, ver=ver, verdict=verdict, figures=figures[:400])
+        )
         if not self.up or not self.out.put(packed):
             self.tell("stage_told", True, stage, 0.0, 0.0, ERROR, ver, 0)
             return
--- a/gannetfront/proxy/members.py
+++ b/gannetfront/proxy/members.py
@@ -1,4 +1,5 @@
 """Members on sockets: one port for datagrams, the core's messages in and out, and what it sees in the log. Hints only."""
+
 from collections import Counter
 
 from .. import host
@@ -22,11 +23,13 @@
             if mate.zone not in zones:
                 raise ValueError(f"mate {mate.number}: no zone '{mate.zone}' in the fleet")
         self.numbers = {address: number for number, address in self.addresses.items()}
-        self.core = Members(mine.me, {m.number: m.zone for m in mine.mate}, mine.member_period, chance, host.now())
+        self.core = Members(
+            mine.me, {m.number: m.zone for m in mine.mate}, mine.member_period, chance, host.now()
+        )
         self.me, self.period = mine.me, mine.member_period
         self.port = host.Datagrams(mine.member_listen or self.addresses[mine.me])
         self.stopped, self.sent = False, 0
-        self.duties = None      # told of the words of leases, which come in at the same port
+        self.duties = None  # told of the words of leases, which come in at the same port
 
     # ---- the core's way out ----
 
@@ -62,7 +65,9 @@
                 else:
                     raise wire.Bad("garbage")
                 if self.numbers.get(sender) != source:
-                    raise wire.Bad("address")       # another process there, or one that calls itself what it is not
+                    raise wire.Bad(
+                        "address"
+                    )  # another process there, or one that calls itself what it is not
                 if name == "lease":
                     self.duties.hear(source, duty, message)
                     continue
@@ -76,7 +81,11 @@
         now = host.now()
         standing = self.core.standing(now)
         found = {f"hears nobody of {zone}": ms for zone, ms in standing["zones"].items()}
-        found |= {what: standing[key] for key, what in (("alone", "hears nobody"), ("unheard", "nobody answers")) if standing[key]}
+        found |= {
+            what: standing[key]
+            for key, what in (("alone", "hears nobody"), ("unheard", "nobody answers"))
+            if standing[key]
+        }
         for what, ms in found.items():
             if what not in self.said:
                 self.log.warning(what, for_ms=round(ms))
--- a/gannetfront/proxy/pools.py
+++ b/gannetfront/proxy/pools.py
@@ -3,17 +3,20 @@
 Every exit returns or closes the connection. Only connections on which nothing waits to be read are handed out again:
 a node that closed one meanwhile has a byte or an end waiting there.
 """
+
 from .. import host
 from .keeping import Keeping
 
 
 class Pool:
-    def __init__(self, addr, most, idle, connect_limit, connect=host.connect, room=lambda: True, keeping=None):
+    def __init__(
+        self, addr, most, idle, connect_limit, connect=host.connect, room=lambda: True, keeping=None
+    ):
         """`connect(addr, limit)` gives a stream that can carry a request, or raises host.Refused; `room()` tells whether
         one more descriptor may be had; `keeping` how long an idle one is trusted, for all nodes together."""
         self.addr, self.most, self.idle_limit, self.connect_limit = addr, most, idle, connect_limit
         self.connect, self.room, self.retired, self.keeping = connect, room, False, keeping or Keeping()
-        self.out, self.idle = 0, []     # idle: (since, stream), oldest first
+        self.out, self.idle = 0, []  # idle: (since, stream), oldest first
 
     def take(self, limit):
         """(stream, fresh), or Refused: nothing was sent then, whatever the reason."""
@@ -90,7 +93,7 @@
             pool = self.by_addr[addr]
             pool.close_idle(self.idle)
             if not pool.out and not pool.idle and addr not in listed:
-                self.retire(addr)       # who has it in hand and has not begun begins nothing
+                self.retire(addr)  # who has it in hand and has not begun begins nothing
 
     def size(self):
         return sum(p.out + len(p.idle) for p in self.by_addr.values())
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -1,4 +1,5 @@
 """gannet-proxy assembled: listener, rounds, pools, links; start, reload of the list from disk, graceful stop."""
+
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
@@ -28,8 +29,16 @@
         self.kept, self.stage, self.began = KeptList(), None, host.now()
         self.file = KeptFile(mine.state_file, lambda: self.kept.pack(host.now()), "list", log)
         self.pools = Pools(mine.pool_cap, mine.pool_idle, mine.connect_limit)
-        self.rounds = Rounds(lambda: Balancer(mine.seed, facts), mine.tick, mine.most_held, mine.answer_limit,
-                             self.pools, log, mine.me, invocation)
+        self.rounds = Rounds(
+            lambda: Balancer(mine.seed, facts),
+            mine.tick,
+            mine.most_held,
+            mine.answer_limit,
+            self.pools,
+            log,
+            mine.me,
+            invocation,
+        )
         self.rounds.refill = self.refill
         self.rounds.know(facts, come_back, host.chance(mine.seed, 5))
         self.rounds.build_of = lambda addr: self.kept.nodes[addr][0][2] if addr in self.kept.nodes else 0
@@ -42,18 +51,50 @@
             self.rounds.must = [o.effect == SIDE_EFFECTING for o in facts.operations]
         streams, duty = {m.number: m.duties for m in mine.mate}, {d.name: d for d in mine.duty}
         at = streams.get(mine.me, "") if "tenants" in duty else mine.tenants
-        self.tenants = (Tenants(mine, facts, self.rounds.tell, log, host.chance(mine.seed, 4), at, "tenants" if "tenants" in duty else "")
-                        if at else Listed(fleet.tenant))
-        self.clients = Clients(self.rounds, operations, self.tenants.admit, (mine.header_limit, mine.body_limit),
-                               [(o.time_limit, mine.answer_margin) for o in fleet.operation],
-                               mine.read_limit, mine.idle_limit, self.inside, log)
+        self.tenants = (
+            Tenants(
+                mine,
+                facts,
+                self.rounds.tell,
+                log,
+                host.chance(mine.seed, 4),
+                at,
+                "tenants" if "tenants" in duty else "",
+            )
+            if at
+            else Listed(fleet.tenant)
+        )
+        self.clients = Clients(
+            self.rounds,
+            operations,
+            self.tenants.admit,
+            (mine.header_limit, mine.body_limit),
+            [(o.time_limit, mine.answer_margin) for o in fleet.operation],
+            mine.read_limit,
+            mine.idle_limit,
+            self.inside,
+            log,
+        )
         self.signals = Signals(mine.me, mine.signal_listen, self.rounds.tell)
-        self.link = ControlLink(mine.me, mine.control, self.kept, facts.rollout.answer_wait, self.told, log,
-                                self.signals.port.where, self.signals.on_peers, host.chance(mine.seed, 1), self.on_list)
+        self.link = ControlLink(
+            mine.me,
+            mine.control,
+            self.kept,
+            facts.rollout.answer_wait,
+            self.told,
+            log,
+            self.signals.port.where,
+            self.signals.on_peers,
+            host.chance(mine.seed, 1),
+            self.on_list,
+        )
         self.rounds.link, self.rounds.signals = self.link, self.signals
         self.members = Membership(mine, fleet.zone, log, host.chance(mine.seed, 6)) if mine.mate else None
-        self.sites = (AtProxy(fleet, mine, facts, self.rounds, self.kept, self.members, log, host.chance(mine.seed, 9))
-                      if self.members or fleet.site_acts else None)
+        self.sites = (
+            AtProxy(fleet, mine, facts, self.rounds, self.kept, self.members, log, host.chance(mine.seed, 9))
+            if self.members or fleet.site_acts
+            else None
+        )
         if self.sites:
             self.sites.staged = lambda: self.stage
         self.duties = duties_of(self, mine, streams, log, acts) if mine.duty else None
@@ -139,8 +180,12 @@
             host.sleep(self.period / 2)
             rows, self.sampled = self.sampled, {}
             if rows:
-                self.link.counts([c.Count(ver=ver, operation=op, dispatches=n, bad=bad, taken=taken)
-                                  for (ver, op), (n, bad, taken) in rows.items()])
+                self.link.counts(
+                    [
+                        c.Count(ver=ver, operation=op, dispatches=n, bad=bad, taken=taken)
+                        for (ver, op), (n, bad, taken) in rows.items()
+                    ]
+                )
 
     # ---- asked of the proxy itself ----
 
@@ -151,9 +196,13 @@
             ready = any(e[5] == "ready" for e, _ in self.kept.nodes.values()) and not self.clients.stopping
             return http.answer(200 if ready else 503, [], b"ready\n" if ready else b"no nodes\n", keep), keep
         if url == b"/-/metrics":
-            return http.answer(200, [(b"content-type", b"text/plain; version=0.0.4")], self.metrics(), keep), keep
+            return http.answer(
+                200, [(b"content-type", b"text/plain; version=0.0.4")], self.metrics(), keep
+            ), keep
         if url == b"/-/refused":
-            return http.answer(200, [(b"content-type", b"text/plain")], self.rounds.watch.report(self.ops).encode(), keep), keep
+            return http.answer(
+                200, [(b"content-type", b"text/plain")], self.rounds.watch.report(self.ops).encode(), keep
+            ), keep
         return http.answer(404, [], b"not here\n", keep), keep
 
     def metrics(self):
@@ -166,24 +215,49 @@
             ends.add_metric((self.ops[op], kind), count)
         yield ends
         for name, what, value in (
-                ("held", "open invocations", len(rounds.held)), ("in_flight", "dispatches out", len(rounds.flights)),
-                ("clients", "client connections", len(self.clients.open)),
-                ("node_connections", "connections to nodes", self.pools.size()),
-                ("nodes", "nodes listed", len(self.kept.nodes)), ("control_up", "link to the controller", self.link.up),
-                ("tenant_view", "view of tenants in force", self.tenants.number()),
-                ("tenant_view_age_ms", "since the directory confirmed it", min(1e12, self.tenants.age())),
-                ("list_revision", "list held", self.kept.revision),
-                ("decision_ms", "time spent in decisions", rounds.spent), ("rounds", "rounds", rounds.rounds),
-                ("list_not_kept", "the list held is newer than its file", self.file.behind),
-                *([(f"members_{state}", "proxies of the roster, as this one sees them", n)
-                   for state, n in sorted(self.members.counts().items())] + [
-                       ("members_sent", "datagrams sent to members, those of duties among them", self.members.sent),
-                       ("members_dropped", "datagrams of members that could not be heeded", sum(self.members.dropped.values()))]
-                  if self.members else []),
-                *([("trail_refuses", "what must be written down is turned away", rounds.trail.refuses()),
-                   ("trail_write_ms", "the write that is out, or the last one", rounds.trail.write_ms()),
-                   ("trail_waiting", "records not written yet", len(rounds.trail.waiting)),
-                   ("trail_lost", "records given up, not told of yet", rounds.trail.lost)] if rounds.trail else [])):
+            ("held", "open invocations", len(rounds.held)),
+            ("in_flight", "dispatches out", len(rounds.flights)),
+            ("clients", "client connections", len(self.clients.open)),
+            ("node_connections", "connections to nodes", self.pools.size()),
+            ("nodes", "nodes listed", len(self.kept.nodes)),
+            ("control_up", "link to the controller", self.link.up),
+            ("tenant_view", "view of tenants in force", self.tenants.number()),
+            ("tenant_view_age_ms", "since the directory confirmed it", min(1e12, self.tenants.age())),
+            ("list_revision", "list held", self.kept.revision),
+            ("decision_ms", "time spent in decisions", rounds.spent),
+            ("rounds", "rounds", rounds.rounds),
+            ("list_not_kept", "the list held is newer than its file", self.file.behind),
+            *(
+                [
+                    (f"members_{state}", "proxies of the roster, as this one sees them", n)
+                    for state, n in sorted(self.members.counts().items())
+                ]
+                + [
+                    (
+                        "members_sent",
+                        "datagrams sent to members, those of duties among them",
+                        self.members.sent,
+                    ),
+                    (
+                        "members_dropped",
+                        "datagrams of members that could not be heeded",
+                        sum(self.members.dropped.values()),
+                    ),
+                ]
+                if self.members
+                else []
+            ),
+            *(
+                [
+                    ("trail_refuses", "what must be written down is turned away", rounds.trail.refuses()),
+                    ("trail_write_ms", "the write that is out, or the last one", rounds.trail.write_ms()),
+                    ("trail_waiting", "records not written yet", len(rounds.trail.waiting)),
+                    ("trail_lost", "records given up, not told of yet", rounds.trail.lost),
+                ]
+                if rounds.trail
+                else []
+            ),
+        ):
             yield GaugeMetricFamily("gannet_" + name, what, value=value)
         if self.sites:
             yield from self.sites.metrics()
@@ -197,14 +271,30 @@
         self.registry.register(self)
         self.read_kept()
         self.listener = host.Listener(self.listen)
-        self.greenlets = [host.spawn(call) for call in (
-            self.rounds.run, self.link.run, self.signals.run, self.sweep, self.file.run, self.weather, *self.tenants.start(),
-            *([self.rounds.trail.run] if self.rounds.trail else []),
-            *([self.members.run, self.members.hear] if self.members else []), *([self.sites.run] if self.sites else []), *([self.send_counts] if self.period else []))]
+        self.greenlets = [
+            host.spawn(call)
+            for call in (
+                self.rounds.run,
+                self.link.run,
+                self.signals.run,
+                self.sweep,
+                self.file.run,
+                self.weather,
+                *self.tenants.start(),
+                *([self.rounds.trail.run] if self.rounds.trail else []),
+                *([self.members.run, self.members.hear] if self.members else []),
+                *([self.sites.run] if self.sites else []),
+                *([self.send_counts] if self.period else []),
+            )
+        ]
         if self.duties:
             self.greenlets += self.duties.start()
-        self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log, self.most_clients))
-        self.log.info("serving", at=self.listener.where, signals=self.signals.port.where, nodes=len(self.kept.nodes))
+        self.greenlets.append(
+            host.spawn(host.serve, self.listener, self.clients.handle, self.log, self.most_clients)
+        )
+        self.log.info(
+            "serving", at=self.listener.where, signals=self.signals.port.where, nodes=len(self.kept.nodes)
+        )
 
     def stop(self):
         """Takes nothing new, answers what it holds, ends within the stop limit."""
@@ -221,7 +311,7 @@
         if self.members:
             self.members.stop()
         end = host.now() + self.stop_limit
-        host.sleep(0)       # those just spawned are among the open ones
+        host.sleep(0)  # those just spawned are among the open ones
         while host.now() < end and any(s in self.clients.busy or s.waiting() for s in self.clients.open):
             host.sleep(10)
         for held in list(self.rounds.held.values()):
@@ -242,21 +332,31 @@
     from ..duties.seal import Sealing
     from ..duties.shell import Duties
     from ..duties.tenants import Tenants as Reading
+
     made = {}
     for d in mine.duty:
         if d.name == "seal":
             made[d.name] = Sealing(d, proxy.rounds.trail, log)
         elif d.name == "site-return":
             if not (proxy.sites and proxy.sites.stand):
-                raise ValueError("duty site-return: the fleet's settings do not have site_acts, so there is nothing to lead")
+                raise ValueError(
+                    "duty site-return: the fleet's settings do not have site_acts, so there is nothing to lead"
+                )
             made[d.name] = Returning(d, proxy.sites, f"{mine.state_file}.site-return", log)
         else:
-            made[d.name] = Reading(load.read(load.schema.Directory, d.directory), proxy.tenants, streams, log, host.chance(mine.seed, 7))
+            made[d.name] = Reading(
+                load.read(load.schema.Directory, d.directory),
+                proxy.tenants,
+                streams,
+                log,
+                host.chance(mine.seed, 7),
+            )
 
     def acted(duty, token, step, how, why, at=None):
         if acts:
             acts.add(host.stamp() if at is None else at, duty, str(mine.me), *token, step, how, why)
             acts.flush()
+
     if "tenants" in made:
         proxy.tenants.acted = lambda *what: acted("tenants", *what)
     busy = lambda: min(1.0, len(proxy.rounds.held) / mine.most_held)
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -3,6 +3,7 @@
 Everyone else puts events into its box. What a full box means: a new invocation is not taken (throttled unseen),
 anything else waits for room, as it must not be lost. A first success reaches its client at once, without a round.
 """
+
 from .. import host
 from ..calm.storm import Watch
 from ..interface import ERROR, MOOT, RESET, SUCCEEDED
@@ -11,12 +12,18 @@
 from .flights import Flight
 
 
-class Asked:        # what of an invocation its dispatches carry; its content is read by the codec alone
+class Asked:  # what of an invocation its dispatches carry; its content is read by the codec alone
     __slots__ = "content", "name", "done", "begun", "tenant", "gone"
 
     def __init__(self, content, name, tenant):
-        self.content, self.name, self.tenant, self.done, self.begun = content, name, tenant, host.Once(), host.now()
-        self.gone = lambda: False       # what the client's own socket says, whoever has read it
+        self.content, self.name, self.tenant, self.done, self.begun = (
+            content,
+            name,
+            tenant,
+            host.Once(),
+            host.now(),
+        )
+        self.gone = lambda: False  # what the client's own socket says, whoever has read it
 
 
 class Rounds:
@@ -27,8 +34,14 @@
         self.pools, self.logger, self.name = pools, log, b"proxy/%d" % me
         self.box, self.flights, self.last = host.Mailbox(4 * most_held + 4096), {}, -1e9
         self.link, self.signals, self.said, self.why = None, None, "", b""
-        self.wait, self.turned_away = 0.0, lambda op: None      # (why, ms) for an invocation that nothing is tried for now
-        self.told_as, self.holds = lambda addr, status: status, lambda verdict, ver: False     # what of outcomes and votes goes on
+        self.wait, self.turned_away = (
+            0.0,
+            lambda op: None,
+        )  # (why, ms) for an invocation that nothing is tried for now
+        self.told_as, self.holds = (
+            lambda addr, status: status,
+            lambda verdict, ver: False,
+        )  # what of outcomes and votes goes on
         self.carrier, self.spent, self.rounds = Carrier(make, self), 0.0, 0
         self.observe, self.trail, self.must = lambda *fields: None, None, ()
         self.watch, self.slo_times, self.advice = Watch(host.now()), (), lambda op: 0.0
@@ -60,7 +73,10 @@
         elif len(self.held) >= self.most_held or len(self.box) >= self.box.most - 1024:
             refused = b"too much is held here", self.advice(op)
         elif self.trail and self.must[op] and self.trail.refuses():
-            refused = b"it cannot be written down now", self.advice(op)      # nothing ran; who needs no disk goes on
+            refused = (
+                b"it cannot be written down now",
+                self.advice(op),
+            )  # nothing ran; who needs no disk goes on
         if refused:
             self.why, self.wait = refused
             return None
@@ -87,7 +103,9 @@
             try:
                 self.carrier.step(now)
             except Exception as trouble:  # noqa: BLE001 - a fault there must not lose what is held
-                self.logger.error("decisions failed", why=f"{type(trouble).__name__}: {trouble}", held=len(self.held))
+                self.logger.error(
+                    "decisions failed", why=f"{type(trouble).__name__}: {trouble}", held=len(self.held)
+                )
                 for flight in self.flights.values():
                     flight.stop.set()
                 self.flights = {}
@@ -117,11 +135,19 @@
         life = self.carrier.life
 
         def stands(waited):
-            return held.answer is None and not held.extra.gone() and (
-                not waited or self.carrier.stands(held, seq, life, host.now()))
+            return (
+                held.answer is None
+                and not held.extra.gone()
+                and (not waited or self.carrier.stands(held, seq, life, host.now()))
+            )
+
         flight = self.flights[held.ident, seq] = Flight(
-            addr, lambda left: self.codec.dispatch(held.extra.content, addr, self.name, seq, left), limit,
-            self.codec.Reply(self.answer_limit), stands)
+            addr,
+            lambda left: self.codec.dispatch(held.extra.content, addr, self.name, seq, left),
+            limit,
+            self.codec.Reply(self.answer_limit),
+            stands,
+        )
         # The pool as of now: what a list calls by this name later is another process than the one decided upon.
         host.spawn(self.fly, held, seq, flight, life, self.pools.of(addr))
 
@@ -139,7 +165,15 @@
             del self.flights[held.ident, seq]
             self.observe(flight.addr, held.op, status, took)
             self.watch.dispatched(self.build_of(flight.addr), status, status == SUCCEEDED)
-            self.carrier.landed(held, seq, life, flight.addr, self.told_as(flight.addr, status), took, answer.load() if answer else {})
+            self.carrier.landed(
+                held,
+                seq,
+                life,
+                flight.addr,
+                self.told_as(flight.addr, status),
+                took,
+                answer.load() if answer else {},
+            )
             self.wake()
 
     def recorded(self, held, seq, flight, pool):
--- a/gannetfront/proxy/signals.py
+++ b/gannetfront/proxy/signals.py
@@ -1,7 +1,8 @@
 """Datagrams between proxies, which may be lost. One is heard only from the address of a peer that was named."""
+
 from .. import host
 
-LONGEST = 256       # bytes of a payload
+LONGEST = 256  # bytes of a payload
 
 
 class Signals:
@@ -33,6 +34,9 @@
                 return
             data, sender = got
             number, head = self.names.get(sender), 0 if self.bare else 2
-            if number is not None and head < len(data) <= head + LONGEST and (
-                    self.bare or number == int.from_bytes(data[:2], "big")):
+            if (
+                number is not None
+                and head < len(data) <= head + LONGEST
+                and (self.bare or number == int.from_bytes(data[:2], "big"))
+            ):
                 self.tell("peer", number, data[head:])
--- a/gannetfront/proxy/sites.py
+++ b/gannetfront/proxy/sites.py
@@ -1,5 +1,6 @@
 """The loss of a site at one proxy: what it sees goes to the cores (sites/sight.py), what they say goes to the decisions as lists and to
 clients as refusals. Nodes that answer nothing are asked whether they are there."""
+
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 from .. import host
@@ -9,7 +10,7 @@
 from ..sites.stand import Stand
 from ..wire import BadAnswer, http
 
-PROBE_LIMIT = 250.0     # ms for a node's answer
+PROBE_LIMIT = 250.0  # ms for a node's answer
 AWAY_WHY = b"a site is lost and what is left has no room for this"
 
 
@@ -25,14 +26,25 @@
 
     def __init__(self, fleet, mine, facts, rounds, kept, membership, log, chance):
         self.rounds, self.kept, self.membership, self.log, self.chance = rounds, kept, membership, log, chance
-        self.slo_times, self.ops, self.stand = [o.slo_time for o in facts.operations], [o.name for o in fleet.operation], None
-        self.leading, self.refused, self.longest, self.probe_path = lambda: False, 0, facts.retry_advice, fleet.site_probe.encode()
+        self.slo_times, self.ops, self.stand = (
+            [o.slo_time for o in facts.operations],
+            [o.name for o in fleet.operation],
+            None,
+        )
+        self.leading, self.refused, self.longest, self.probe_path = (
+            lambda: False,
+            0,
+            facts.retry_advice,
+            fleet.site_probe.encode(),
+        )
         if fleet.site_acts:
             sites = Sites.of(fleet)
             self.stand = Stand(sites, self.ops, planned(sites, mine, fleet), LOOK, host.now())
             rounds.turned_away, rounds.told_as, rounds.holds = self.turned_away, self.told_as, self.holds
-        self.staged = lambda: None      # (answer, stage, since, cap, status, build, phase) as told last
-        self.sight = Sight(list(fleet.zone), mine.zone or fleet.zone[0], facts.cold_share, facts.warm_within, self.stand)
+        self.staged = lambda: None  # (answer, stage, since, cap, status, build, phase) as told last
+        self.sight = Sight(
+            list(fleet.zone), mine.zone or fleet.zone[0], facts.cold_share, facts.warm_within, self.stand
+        )
         self.zones, self.seen, self.orders = self.sight.zones, self.sight.seen, self.sight.orders
 
     def entries(self):
@@ -56,7 +68,9 @@
         told = self.staged()
         word = self.stand and told and self.sight.word(now, told[1], told[5], told[6], self.entries())
         if word:
-            self.rounds.link.vote(*word, "a site that carries it is not whole" if word[2] == HOLD else "its sites are whole")
+            self.rounds.link.vote(
+                *word, "a site that carries it is not whole" if word[2] == HOLD else "its sites are whole"
+            )
         if not moved:
             return
         self.log.warning("site weights", weights=self.stand.weights, before=before, refused=self.shares())
@@ -101,8 +115,16 @@
         begun, stream, fine = host.now(), None, False
         try:
             stream, reader = host.connect(addr, PROBE_LIMIT), http.AnswerReader(1 << 16)
-            stream.send(http.request(self.probe_path, b"node", [(b"connection", b"close"), (b"gannet-from", self.rounds.name)], b"", b"GET"),
-                        PROBE_LIMIT)
+            stream.send(
+                http.request(
+                    self.probe_path,
+                    b"node",
+                    [(b"connection", b"close"), (b"gannet-from", self.rounds.name)],
+                    b"",
+                    b"GET",
+                ),
+                PROBE_LIMIT,
+            )
             while not reader.whole:
                 data = stream.recv(4096, max(1.0, begun + 2 * PROBE_LIMIT - host.now()))
                 reader.feed(data)
@@ -126,13 +148,23 @@
             self.look()
 
     def metrics(self):
-        away = GaugeMetricFamily("gannet_zone_away", "1 where this proxy takes the zone for lost, cut off or silent", labels=("zone",))
+        away = GaugeMetricFamily(
+            "gannet_zone_away",
+            "1 where this proxy takes the zone for lost, cut off or silent",
+            labels=("zone",),
+        )
         for name, gone in self.sight.away().items():
             away.add_metric((name,), gone)
         yield away
         if self.stand:
-            weight = GaugeMetricFamily("gannet_zone_weight", "part of its usual share of dispatches that the zone gets", labels=("zone",))
+            weight = GaugeMetricFamily(
+                "gannet_zone_weight",
+                "part of its usual share of dispatches that the zone gets",
+                labels=("zone",),
+            )
             for name, part in self.stand.weights.items():
                 weight.add_metric((name,), part)
             yield weight
-            yield CounterMetricFamily("gannet_site_refused", "invocations refused as a site is lost", value=self.refused)
+            yield CounterMetricFamily(
+                "gannet_site_refused", "invocations refused as a site is lost", value=self.refused
+            )
--- a/gannetfront/proxy/tenants.py
+++ b/gannetfront/proxy/tenants.py
@@ -1,4 +1,5 @@
 """Tenants at a proxy: from the fleet's own settings, or from views that gannet-tenants hands on."""
+
 from .. import host
 from ..duties.tokens import token_of
 from ..keptfile import KeptFile
@@ -8,7 +9,8 @@
 from ..wire import control_pb2 as c, frames
 from .links import StreamLink
 
-KEEPING = 1000.0    # ms that a view waits for its disk
+KEEPING = 1000.0  # ms that a view waits for its disk
+
 
 class Listed:
     """The tenants that the fleet's settings name; none: every caller is one."""
@@ -44,9 +46,10 @@
         self.duty, self.acted = duty, lambda token, step, how, why: None
         self.me, self.tell, self.held, self.slots = mine.me, tell, kept.Held(), Slots()
         self.file = KeptFile(mine.tenants_file, self.pack, "view", log)
-        self.tenancy = Tenancy([o.effect for o in facts.operations], mine.tenants_fresh, mine.tenants_costly,
-                               mine.tenants_serve)
-        self.portions, self.given = (), -1e18     # when the newest view was confirmed
+        self.tenancy = Tenancy(
+            [o.effect for o in facts.operations], mine.tenants_fresh, mine.tenants_costly, mine.tenants_serve
+        )
+        self.portions, self.given = (), -1e18  # when the newest view was confirmed
 
     def admit(self, name, op):
         if name is None:
@@ -86,7 +89,13 @@
     # ---- the stream ----
 
     def hello(self):
-        return c.Hello(role=c.PROXY, id=str(self.me), revision=self.held.number, duty=self.duty, **kept.wired(self.held.epoch))
+        return c.Hello(
+            role=c.PROXY,
+            id=str(self.me),
+            revision=self.held.number,
+            duty=self.duty,
+            **kept.wired(self.held.epoch),
+        )
 
     def on_refusal(self, message):
         self.turned_away = True
@@ -98,7 +107,9 @@
         except ValueError as trouble:
             self.log.warning("view not taken", why=str(trouble))
             epoch = kept.epoch_in(told)
-            self.acted(token_of(epoch), told.number, "refused", "older" if epoch < self.held.epoch else "order")
+            self.acted(
+                token_of(epoch), told.number, "refused", "older" if epoch < self.held.epoch else "order"
+            )
             if epoch >= self.held.epoch:
                 self.out.put(frames.pack(ask=c.Ask(whole=True)))
             return
@@ -110,7 +121,9 @@
                 self.log.warning("view in force before it is on disk", number=told.number)
             self.swap(host.now() - self.given)
             self.acted(token_of(self.held.epoch), told.number, "done", "")
-            self.log.info("view", number=told.number, tenants=len(whole["members"]), groups=len(whole["groups"]))
+            self.log.info(
+                "view", number=told.number, tenants=len(whole["members"]), groups=len(whole["groups"])
+            )
 
     def on_tenants_age(self, told):
         self.tenancy.confirm((kept.epoch_in(told), told.number), host.now() - told.age)
--- a/gannetfront/release/calendar.py
+++ b/gannetfront/release/calendar.py
@@ -1,4 +1,5 @@
 """Times in which no stage moves on, without I/O: spans of dates and weekly ones, in UTC."""
+
 from datetime import datetime, timezone
 
 DAYS = "mon tue wed thu fri sat sun".split()
@@ -40,7 +41,7 @@
         for begin, end, why in self.spans:
             if begin <= wall < end:
                 return why
-        at = (wall / 60 + 3 * 1440) % WEEK     # the calendar clock began on a Thursday
+        at = (wall / 60 + 3 * 1440) % WEEK  # the calendar clock began on a Thursday
         for begin, end, why in self.weekly:
             # One that ends before it begins goes over the end of the week.
             if begin <= at < end if begin < end else at >= begin or at < end:
--- a/gannetfront/release/outbox.py
+++ b/gannetfront/release/outbox.py
@@ -3,6 +3,7 @@
 In order for each build: a message waits until the one before it is delivered or given up. Every wait is bounded; what is
 given up lies among the dead letters, where an operator sees it and may send it again.
 """
+
 import base64
 import hmac
 import json
@@ -52,7 +53,7 @@
             self.build_of[number] = build
             line = self.builds.setdefault(build, [])
             line.append((number, tries, self.now))
-            line.sort()     # a dead letter sent again may have the lower number
+            line.sort()  # a dead letter sent again may have the lower number
 
     def end(self, number, *kept):
         build = self.build_of.pop(number)
@@ -81,7 +82,12 @@
         self.out.keep(number, tries, "due", why)
 
 
-TYPES = {TRIAL: "build.stage", GOING_BACK: "build.going_back", RELEASED: "build.released", WITHDRAWN: "build.withdrawn"}
+TYPES = {
+    TRIAL: "build.stage",
+    GOING_BACK: "build.going_back",
+    RELEASED: "build.released",
+    WITHDRAWN: "build.withdrawn",
+}
 
 
 def body_of(kind, facts, wall):
@@ -93,8 +99,12 @@
     """Standard Webhooks: a stable id, the time of this try, the signature over both and the body."""
     ident, at = f"msg_{number}", int(wall)
     digest = hmac.digest(secret, f"{ident}.{at}.".encode() + body, "sha256")
-    return [(b"content-type", b"application/json"), (b"webhook-id", ident.encode()), (b"webhook-timestamp", b"%d" % at),
-            (b"webhook-signature", b"v1," + base64.b64encode(digest))]
+    return [
+        (b"content-type", b"application/json"),
+        (b"webhook-id", ident.encode()),
+        (b"webhook-timestamp", b"%d" % at),
+        (b"webhook-signature", b"v1," + base64.b64encode(digest)),
+    ]
 
 
 def judged(status):
--- a/gannetfront/release/scripted.py
+++ b/gannetfront/release/scripted.py
@@ -1,4 +1,5 @@
 """What a day script does to the controller: offers, news told late, links cut; and its records."""
+
 from .. import host
 
 
@@ -8,6 +9,7 @@
         self.tell = self.events = None
         if folder:
             from ..records import Table
+
             self.tell, self.events = Table(folder, "told", who), Table(folder, "events", who)
 
     def late(self):
@@ -18,20 +20,46 @@
         if not self.tell:
             return
         if message.DESCRIPTOR.name == "Stage":
-            self.tell.add(at, proxy, "stage", False, 0, "", 0, message.ver, "", message.stage, message.cap, message.phase)
+            self.tell.add(
+                at,
+                proxy,
+                "stage",
+                False,
+                0,
+                "",
+                0,
+                message.ver,
+                "",
+                message.stage,
+                message.cap,
+                message.phase,
+            )
             return
         if message.whole:
             self.tell.add(at, proxy, "whole", True, message.revision, "", 0, 0, "", 0, 0.0, 0)
         for node in message.nodes:
-            self.tell.add(at, proxy, "node", message.whole, message.revision, node.id, node.incarnation, node.build,
-                          {1: "ready", 2: "draining", 3: "gone"}[node.state], 0, 0.0, 0)
+            self.tell.add(
+                at,
+                proxy,
+                "node",
+                message.whole,
+                message.revision,
+                node.id,
+                node.incarnation,
+                node.build,
+                {1: "ready", 2: "draining", 3: "gone"}[node.state],
+                0,
+                0.0,
+                0,
+            )
 
     def play(self, controller):
         if not self.day:
             return
         if self.events:
             controller.story = lambda what, facts: self.events.add(
-                host.now(), what, str(facts.get("proxy", facts.get("build", ""))), repr(facts))
+                host.now(), what, str(facts.get("proxy", facts.get("build", ""))), repr(facts)
+            )
         for nth, offer in enumerate(self.day.offers if not self.day.release["hooks"] else ()):
             host.later(self.start + offer.at - host.now(), controller.event, "offered", nth + 2)
         for trouble in self.day.troubles:
--- a/gannetfront/release/sending.py
+++ b/gannetfront/release/sending.py
@@ -2,6 +2,7 @@
 
 A receiver that hangs holds up its own messages only: nothing of this is waited for where stages move.
 """
+
 import sqlite3
 import ssl
 from urllib.parse import urlsplit
@@ -27,11 +28,15 @@
         host.address(self.at)
         self.host_name = url.hostname
         self.path = (url.path or "/") + (f"?{url.query}" if url.query else "")
-        self.tls = ssl.create_default_context(cafile=settings.ca_file or None) if url.scheme == "https" else None
+        self.tls = (
+            ssl.create_default_context(cafile=settings.ca_file or None) if url.scheme == "https" else None
+        )
         self.secret = secret_of((host.read_file(settings.secret_file) or b"").decode().strip())
-        self.outbox = Outbox(chance, settings.most_tries, settings.first_wait, settings.longest_wait, settings.at_once)
+        self.outbox = Outbox(
+            chance, settings.most_tries, settings.first_wait, settings.longest_wait, settings.at_once
+        )
         self.box, self.letters, self.stopped, self.life = host.Mailbox(4 * HELD), {}, False, 0
-        self.acts = []      # what a round of the outbox decided: done after it, as it waits for the store's disk
+        self.acts = []  # what a round of the outbox decided: done after it, as it waits for the store's disk
 
     def begin(self):
         """With each turn: what is due is read from the store."""
@@ -109,4 +114,4 @@
             event = "failed", number, f"no answer within {self.limit:g} ms"
         except (OSError, http.BadAnswer) as trouble:
             event = "failed", number, str(trouble)[:150] or type(trouble).__name__
-        self.box.put((life, event))     # there are fewer tries out than places
+        self.box.put((life, event))  # there are fewer tries out than places
--- a/gannetfront/release/serve.py
+++ b/gannetfront/release/serve.py
@@ -1,4 +1,5 @@
 """gannet-release on sockets: proxies and machines come in, lists, stages and tallies go out, votes are answered."""
+
 import json
 import sqlite3
 
@@ -14,7 +15,7 @@
 STATUS = {SUCCEEDED: c.OK, MOOT: c.MOOT, FULL: c.FULL}
 ROUND = 25.0
 HEARD_EVERY, INTRODUCE, HOOK_LIMIT = 1000.0, 100.0, 10000.0
-LEAVE = 3000.0      # ms in which an ending controller waits for its disk
+LEAVE = 3000.0  # ms in which an ending controller waits for its disk
 
 
 class Link:
@@ -36,7 +37,9 @@
         as each list or stage leaves for a proxy; `rollout` is an interface.Rollout."""
         self.logger, self.late, self.record = log, late, told or (lambda *x: None)
         rollout.__dict__["vote_allowance"] = fleet.rollout.vote_allowance
-        self.at_rest = lambda: Stages(rollout, size, len(fleet.zone), 4, mine.lease, mine.known_for, mine.quorum, mine.supersede)
+        self.at_rest = lambda: Stages(
+            rollout, size, len(fleet.zone), 4, mine.lease, mine.known_for, mine.quorum, mine.supersede
+        )
         self.drain, self.most_queue, self.lost = fleet.rollout.drain, mine.link_queue, mine.lost_after
         self.period, self.history_size = fleet.rollout.tally_period, mine.history
         self.listen, self.most_links, self.turn = mine.listen, mine.most_links, Turn(mine.name, mine.patience)
@@ -45,7 +48,9 @@
         self.box, self.done, self.acting, self.closing = host.Mailbox(65536), host.Once(), False, False
         # A round waits for the store's disk; what else changes the stages must not come into its middle.
         self.turnstile = host.Turnstile()
-        self.lingering = host.LingeringCloses(64, 1000.0, 1 << 20)      # behind a refusal that a peer may not have read yet
+        self.lingering = host.LingeringCloses(
+            64, 1000.0, 1 << 20
+        )  # behind a refusal that a peer may not have read yet
         self.clear()
 
     def clear(self):
@@ -145,11 +150,21 @@
     def start(self):
         self.listener = host.Listener(self.listen)
         self.acting = not self.store
-        self.greenlets = [host.spawn(host.serve, self.listener, self.handle, self.logger, self.most_links), *(
-            host.spawn(one) for one in (self.run, self.introduce, self.tallies if self.period else None,
-                                        self.turns if self.store else None) if one)]
+        self.greenlets = [
+            host.spawn(host.serve, self.listener, self.handle, self.logger, self.most_links),
+            *(
+                host.spawn(one)
+                for one in (
+                    self.run,
+                    self.introduce,
+                    self.tallies if self.period else None,
+                    self.turns if self.store else None,
+                )
+                if one
+            ),
+        ]
         if self.trail:
-            host.spawn(self.trail.run)      # ends by itself, once all is written
+            host.spawn(self.trail.run)  # ends by itself, once all is written
         self.logger.info("serving", at=self.listener.where)
 
     def begin(self):
@@ -159,7 +174,9 @@
             return self.take_up()
         try:
             self.try_turn()
-        except sqlite3.Error as trouble:        # held by another for longer than a write waits: looked at again before long
+        except (
+            sqlite3.Error
+        ) as trouble:  # held by another for longer than a write waits: looked at again before long
             self.logger.error("no sign left in the store", why=str(trouble))
         if not self.acting:
             self.logger.info("stands by", name=self.turn.name)
@@ -173,8 +190,13 @@
             # are gone. They go on by the one that they hold.
             self.whole_known = False
             self.stages.restore(host.now(), saved, 1000 * away)
-            self.logger.info("taken up", build=self.stages.ver, stage=self.stages.stage, phase=self.stages.phase,
-                             away_s=round(away, 3))
+            self.logger.info(
+                "taken up",
+                build=self.stages.ver,
+                stage=self.stages.stage,
+                phase=self.stages.phase,
+                away_s=round(away, 3),
+            )
         else:
             self.box.put(("begin",))
 
@@ -186,7 +208,9 @@
                 return
             method, url, headers, body, _ = request
             status, text = self.delivered(doors, tolerance, method, url, headers, body)
-            stream.send(http.answer(status, [(b"content-type", b"application/json")], text.encode(), False), 5000)
+            stream.send(
+                http.answer(status, [(b"content-type", b"application/json")], text.encode(), False), 5000
+            )
         except http.BadRequest as bad:
             try:
                 stream.send(http.answer(bad.status, [], bad.why.encode() + b"\n", False), 5000)
@@ -216,12 +240,15 @@
             # Its copy may have come while this one waited for the disk; the turn may have gone meanwhile.
             before = self.store.answered(name, ident)
             if before or not self.acts():
-                return before or (503, json.dumps(dict(error="another controller acts by now; send it again")) + "\n")
+                return before or (
+                    503,
+                    json.dumps(dict(error="another controller acts by now; send it again")) + "\n",
+                )
             fresh = build > self.stages.ver and build not in self.stages.queue
             status = 202 if fresh else 409
             text = json.dumps(dict(build=build, offered=fresh)) + "\n"
             stages = self.stages
-            if fresh:       # at once, not by an event: the next delivery's write must hold this one's build too
+            if fresh:  # at once, not by an event: the next delivery's write must hold this one's build too
                 stages.offered(build)
             try:
                 self.store.deliver(name, ident, build, status, text, stages.saved())
@@ -236,11 +263,11 @@
     def run(self):
         while not self.closing:
             if self.acting and not self.acts():
-                host.sleep(ROUND)       # its sign is late: what came waits until it is known who acts
+                host.sleep(ROUND)  # its sign is late: what came waits until it is known who acts
                 continue
             first = self.box.take(ROUND)
             if first:
-                host.sleep(0)       # whoever else has sent something shares this round's write
+                host.sleep(0)  # whoever else has sent something shares this round's write
             events = ([first] if first else []) + self.box.drain()
             if self.acts() and not self.closing:
                 self.round(self.outside() + events)
@@ -269,7 +296,9 @@
             host.sleep(INTRODUCE)
             new, self.new_peers = self.new_peers, {}
             if new:
-                data = frames.pack(peers=c.Peers(more=True, peers=[c.Peer(id=i, address=a) for i, a in sorted(new.items())]))
+                data = frames.pack(
+                    peers=c.Peers(more=True, peers=[c.Peer(id=i, address=a) for i, a in sorted(new.items())])
+                )
                 for link in list(self.links.values()):
                     link.put(0.0, data)
 
@@ -294,7 +323,7 @@
             finally:
                 self.writing = False
             if self.epoch != epoch:
-                return      # the turn went while the disk was waited for: what is held now is another's
+                return  # the turn went while the disk was waited for: what is held now is another's
         if self.trail:
             for what, facts in self.moves:
                 build = facts.get("build")
@@ -330,7 +359,11 @@
     # ---- the writer of Stages ----
 
     def place(self, slot, ver, zone, cell, warm):
-        self.machine(frames.pack(place=c.Place(slot=slot, build=ver, zone=zone, cell=cell, warm=warm, epoch=self.epoch)))
+        self.machine(
+            frames.pack(
+                place=c.Place(slot=slot, build=ver, zone=zone, cell=cell, warm=warm, epoch=self.epoch)
+            )
+        )
 
     def remove(self, slot):
         addr = next((a for a, s in self.slot_of.items() if s == slot), None)
@@ -338,7 +371,9 @@
             self.nodes[addr].state = c.DRAINING
             self.changed([self.nodes[addr]])
         # What has been told to drain is stopped only after the drain, counted from when the news leaves.
-        self.machine(frames.pack(remove=c.Remove(slot=slot, drain=self.drain + self.late(), epoch=self.epoch)))
+        self.machine(
+            frames.pack(remove=c.Remove(slot=slot, drain=self.drain + self.late(), epoch=self.epoch))
+        )
 
     def machine(self, data):
         self.touched = True
@@ -371,8 +406,17 @@
 
     def tell_stage(self, link, number=None, status=c.OK):
         s, late = self.stages, self.late() if number is None else 0.0
-        message = c.Stage(answer=number is not None, stage=s.stage, since=max(0.0, host.now() - s.since), cap=s.cap,
-                          status=status, ver=s.ver, phase=s.phase, number=number or 0, epoch=self.epoch)
+        message = c.Stage(
+            answer=number is not None,
+            stage=s.stage,
+            since=max(0.0, host.now() - s.since),
+            cap=s.cap,
+            status=status,
+            ver=s.ver,
+            phase=s.phase,
+            number=number or 0,
+            epoch=self.epoch,
+        )
         self.send(link, host.now() + late, frames.pack(stage=message), message)
 
     # ---- the node list ----
@@ -380,7 +424,8 @@
     def changed(self, nodes):
         self.revision += 1
         self.history = (self.history + [(self.revision, [(n, host.now()) for n in map(self.copy, nodes)])])[
-            -self.history_size:]
+            -self.history_size :
+        ]
         for link in list(self.links.values()):
             self.tell_list(link, self.history[-1:])
 
@@ -414,7 +459,7 @@
     def on_report(self, m):
         node, before = m.node, self.nodes.get(m.node.id)
         if before and before.incarnation > node.incarnation and self.slot_of.get(node.id) == m.slot:
-            return      # news of a process that has been followed by another
+            return  # news of a process that has been followed by another
         if node.state == c.GONE:
             if before and self.slot_of.get(node.id) == m.slot:
                 del self.nodes[node.id], self.slot_of[node.id]
@@ -498,20 +543,28 @@
                 link.put(0.0, data)
             self.stages.again(self)
             return
-        if m.id in self.barred:     # a script's cut
+        if m.id in self.barred:  # a script's cut
             link.stream.reset()
             return
         other = self.links.get(m.id)
         if other:
-            other.stream.close()    # its successor is here: one voice a proxy
+            other.stream.close()  # its successor is here: one voice a proxy
         self.links[m.id], link.address = link, m.signal_address
         link.put(0.0, frames.pack(welcome=c.Welcome(epoch=self.epoch)))
         missed = [x for x in self.history if x[0] > m.revision]
-        known = m.epoch == self.epoch and m.revision <= self.revision and (
-            not missed and m.revision == self.revision or missed and missed[0][0] == m.revision + 1)
+        known = (
+            m.epoch == self.epoch
+            and m.revision <= self.revision
+            and (not missed and m.revision == self.revision or missed and missed[0][0] == m.revision + 1)
+        )
         self.tell_list(link, missed if known else None)
         self.tell_stage(link)
-        link.put(0.0, frames.pack(peers=c.Peers(peers=[c.Peer(id=i, address=x.address) for i, x in sorted(self.links.items())])))
+        link.put(
+            0.0,
+            frames.pack(
+                peers=c.Peers(peers=[c.Peer(id=i, address=x.address) for i, x in sorted(self.links.items())])
+            ),
+        )
         self.new_peers[m.id] = m.signal_address
         self.logger.info("proxy here", id=m.id, resumed=bool(known), missed=len(missed) if known else -1)
 
@@ -542,7 +595,15 @@
             host.sleep(self.period)
             rows, self.rows = self.rows, {}
             if rows:
-                data = frames.pack(tally=c.Tally(age=self.late(), epoch=self.epoch, rows=[
-                    c.Count(ver=v, operation=o, dispatches=n, bad=b, taken=t) for (v, o), (n, b, t) in sorted(rows.items())]))
+                data = frames.pack(
+                    tally=c.Tally(
+                        age=self.late(),
+                        epoch=self.epoch,
+                        rows=[
+                            c.Count(ver=v, operation=o, dispatches=n, bad=b, taken=t)
+                            for (v, o), (n, b, t) in sorted(rows.items())
+                        ],
+                    )
+                )
                 for link in list(self.links.values()):
                     link.put(host.now() + self.late(), data)
--- a/gannetfront/release/stages.py
+++ b/gannetfront/release/stages.py
@@ -8,24 +8,39 @@
 or waits for its end, as set. Nothing but a move on is ever held up: votes 'back' and an operator's take-back always count. 'hold' is said
 by proxies that see a site away which carries the build: while most of those that are there say so, earlier votes 'on' move nothing.
 """
+
 from ..interface import BACK, FULL, GOING_BACK, HOLD, MOOT, NO_VOTE, ON, RELEASED, SUCCEEDED, TRIAL, WITHDRAWN
 
-RUNNING_BY = 8000.0     # a stage's clock starts by then though some of its nodes do not run
+RUNNING_BY = 8000.0  # a stage's clock starts by then though some of its nodes do not run
 
 
 class Slot:
     def __init__(self, slot, ver, zone, cell):
-        self.slot, self.ver, self.zone, self.cell, self.ready, self.leaving = slot, ver, zone, cell, False, False
+        self.slot, self.ver, self.zone, self.cell, self.ready, self.leaving = (
+            slot,
+            ver,
+            zone,
+            cell,
+            False,
+            False,
+        )
 
 
 class Stages:
-    def __init__(self, facts, size, zones, cell_size, lease=None, known_for=600000.0, quorum=0.0, supersede=True):
+    def __init__(
+        self, facts, size, zones, cell_size, lease=None, known_for=600000.0, quorum=0.0, supersede=True
+    ):
         """`facts` is an interface.Rollout with `vote_allowance` beside it; `size` nodes in `zones` zones, at rest. A proxy is
         there while it was heard within `lease` ms (None: all always are), known for `known_for`; a stage moves on while
         `quorum` of the known ones are there."""
         self.lease, self.known_for, self.quorum, self.supersede = lease, known_for, quorum, supersede
         self.members, self.held, self.freeze, self.waits_for = {}, None, None, None
-        self.shares, self.caps, self.soak, self.life = facts.machine_shares, facts.caps, facts.soak, facts.vote_life
+        self.shares, self.caps, self.soak, self.life = (
+            facts.machine_shares,
+            facts.caps,
+            facts.soak,
+            facts.vote_life,
+        )
         self.on_votes, self.back_votes, self.told_every = facts.on_votes, facts.back_votes, facts.told_every
         self.allowance, self.tokens = facts.vote_allowance, [(2 * facts.vote_allowance, 0.0)] * 2
         self.size, self.zones, self.cell_size = size, zones, cell_size
@@ -39,17 +54,29 @@
     def saved(self):
         """All that a restart must know, as plain values; spans, not clock readings."""
         span = lambda t: None if t is None else self.now - t
-        return dict(ver=self.ver, released=self.released, phase=self.phase, stage=self.stage, queue=self.queue,
-                    since=span(self.since), placed=span(self.placed), clock=span(self.clock), next_slot=self.next_slot,
-                    votes=[[proxy, v, span(at)] for proxy, (v, at) in sorted(self.votes.items())],
-                    slots=[[s.slot, s.ver, s.zone, s.cell, s.leaving] for _, s in sorted(self.slots.items())],
-                    members=[[proxy, span(at)] for proxy, at in sorted(self.members.items())], held=self.held)
+        return dict(
+            ver=self.ver,
+            released=self.released,
+            phase=self.phase,
+            stage=self.stage,
+            queue=self.queue,
+            since=span(self.since),
+            placed=span(self.placed),
+            clock=span(self.clock),
+            next_slot=self.next_slot,
+            votes=[[proxy, v, span(at)] for proxy, (v, at) in sorted(self.votes.items())],
+            slots=[[s.slot, s.ver, s.zone, s.cell, s.leaving] for _, s in sorted(self.slots.items())],
+            members=[[proxy, span(at)] for proxy, at in sorted(self.members.items())],
+            held=self.held,
+        )
 
     def restore(self, now, saved, away):
         """Takes up where `saved` was, `away` ms ago: the stage's clock and the votes' lives went on meanwhile."""
         self.now = now
         at = lambda span: None if span is None else now - away - span
-        self.ver, self.released, self.phase, self.stage = (saved[k] for k in ("ver", "released", "phase", "stage"))
+        self.ver, self.released, self.phase, self.stage = (
+            saved[k] for k in ("ver", "released", "phase", "stage")
+        )
         self.queue, self.next_slot = list(saved["queue"]), saved["next_slot"]
         self.since, self.placed, self.clock = at(saved["since"]), at(saved["placed"]), at(saved["clock"])
         self.votes = {proxy: (v, at(span)) for proxy, v, span in saved["votes"]}
@@ -81,7 +108,13 @@
 
     def enter(self, phase, stage, why):
         self.phase, self.stage, self.since, self.placed, self.clock, self.votes = (
-            phase, stage, self.now, self.now, None, {})
+            phase,
+            stage,
+            self.now,
+            self.now,
+            None,
+            {},
+        )
         self.figures = {}
         self.out.log("stage", dict(build=self.ver, stage=stage, phase=phase, cap=self.cap, why=why))
         self.tell()
@@ -119,14 +152,22 @@
             self.out.answer(proxy, number, FULL)
             return
         fits = ver == self.ver and (
-            verdict in (ON, HOLD) and self.phase == TRIAL and stage == self.stage or verdict == NO_VOTE
-            or verdict == BACK and self.phase in (TRIAL, RELEASED) and self.ver > 1)
+            verdict in (ON, HOLD)
+            and self.phase == TRIAL
+            and stage == self.stage
+            or verdict == NO_VOTE
+            or verdict == BACK
+            and self.phase in (TRIAL, RELEASED)
+            and self.ver > 1
+        )
         if fits:
             again = verdict == HOLD and self.votes.get(proxy, (None,))[0] == HOLD
             self.votes[proxy] = verdict, self.now
             self.figures[proxy] = figures
             if not again:
-                self.out.log("vote", dict(proxy=proxy, stage=stage, build=ver, verdict=verdict, figures=figures))
+                self.out.log(
+                    "vote", dict(proxy=proxy, stage=stage, build=ver, verdict=verdict, figures=figures)
+                )
         self.out.answer(proxy, number, SUCCEEDED if fits else MOOT)
 
     def kept_waiting(self):
@@ -209,14 +250,18 @@
                 self.out.remove(slot.slot)
 
     def standing(self, verdict):
-        return [proxy for proxy, (v, at) in self.votes.items()
-                if v == verdict and self.now - at < self.life and self.there(proxy)]
+        return [
+            proxy
+            for proxy, (v, at) in self.votes.items()
+            if v == verdict and self.now - at < self.life and self.there(proxy)
+        ]
 
     def said(self, verdict):
         """Who stands for it and by what figures, for those who read the reason later: the first few of many."""
         who = sorted(self.standing(verdict))
         return "; ".join(f"proxy {p} {self.figures.get(p, '')}".strip() for p in who[:5]) + (
-            f"; and {len(who) - 5} more" if len(who) > 5 else "")
+            f"; and {len(who) - 5} more" if len(who) > 5 else ""
+        )
 
     def move(self):
         new = [s for s in self.slots.values() if s.ver == self.ver]
@@ -228,7 +273,12 @@
             elif self.clock is None:
                 if all(s.ready for s in new) or self.now - self.placed >= RUNNING_BY:
                     self.clock = self.now
-            elif self.now - self.clock >= self.soak and len(self.standing(ON)) >= self.enough() and self.free() and not self.kept_waiting():
+            elif (
+                self.now - self.clock >= self.soak
+                and len(self.standing(ON)) >= self.enough()
+                and self.free()
+                and not self.kept_waiting()
+            ):
                 self.advance()
         elif self.phase == GOING_BACK:
             # Where the earlier machines have gone, new ones come first: the fleet is never without.
--- a/gannetfront/release/store.py
+++ b/gannetfront/release/store.py
@@ -1,12 +1,13 @@
 """What the controller must not forget, in SQLite: deliveries answered, offers, stages, places. Each change is on disk before
 anyone is told (journal in WAL, every commit synced). One file, one schema version, migrated forward at the start.
 """
+
 import json
 import sqlite3
 
 from .. import host
 
-STEPS = (   # the schema, version by version; a store is brought up one step at a time
+STEPS = (  # the schema, version by version; a store is brought up one step at a time
     """CREATE TABLE deliveries (pipeline TEXT, id TEXT, build INTEGER, at REAL, status INTEGER, answer TEXT,
                                 PRIMARY KEY (pipeline, id));
        CREATE TABLE moves (number INTEGER PRIMARY KEY, at REAL, what TEXT, facts TEXT);
@@ -22,8 +23,8 @@
 )
 
 
-BUSY = 1.0      # seconds that a write waits for another process's
-STARTS = 10     # times that long, at the start: whoever made the file may be waiting for a slow disk
+BUSY = 1.0  # seconds that a write waits for another process's
+STARTS = 10  # times that long, at the start: whoever made the file may be waiting for a slow disk
 
 
 class BadStore(Exception):
@@ -67,7 +68,9 @@
                             self.db.execute(statement)
                         self.db.execute(f"PRAGMA user_version={version + 1}")
             if self.version() > len(STEPS):
-                raise BadStore(f"{path}: written by a later version ({self.version()}, known here {len(STEPS)})")
+                raise BadStore(
+                    f"{path}: written by a later version ({self.version()}, known here {len(STEPS)})"
+                )
         except BaseException:
             self.db.close()
             raise
@@ -88,8 +91,11 @@
             if self.turn() != tuple(seen):
                 return None
             epoch = max(seen[0] + 1, int(host.wall() * 1000))
-            self.db.execute("INSERT INTO acting VALUES (1,?,?,1) ON CONFLICT (one) DO UPDATE SET epoch=excluded.epoch, "
-                            "holder=excluded.holder, beat=1", (epoch, holder))
+            self.db.execute(
+                "INSERT INTO acting VALUES (1,?,?,1) ON CONFLICT (one) DO UPDATE SET epoch=excluded.epoch, "
+                "holder=excluded.holder, beat=1",
+                (epoch, holder),
+            )
         self.epoch = epoch
         return epoch
 
@@ -111,12 +117,17 @@
 
     def answered(self, pipeline, ident):
         """(status, answer) given to this delivery before, or None."""
-        return self.db.execute("SELECT status, answer FROM deliveries WHERE pipeline=? AND id=?", (pipeline, ident)).fetchone()
+        return self.db.execute(
+            "SELECT status, answer FROM deliveries WHERE pipeline=? AND id=?", (pipeline, ident)
+        ).fetchone()
 
     def deliver(self, pipeline, ident, build, status, answer, saved):
         """The delivery and what it changed, in one step."""
         with self.step():
-            self.db.execute("INSERT INTO deliveries VALUES (?,?,?,?,?,?)", (pipeline, ident, build, host.wall(), status, answer))
+            self.db.execute(
+                "INSERT INTO deliveries VALUES (?,?,?,?,?,?)",
+                (pipeline, ident, build, host.wall(), status, answer),
+            )
             self.save(saved)
 
     def record(self, moves, saved, orders=(), letters=()):
@@ -124,17 +135,27 @@
         text), and what is to be sent, as (receiver, build, body)."""
         with self.step():
             for what, facts in moves:
-                self.db.execute("INSERT INTO moves (at, what, facts) VALUES (?,?,?)", (host.wall(), what, json.dumps(facts)))
+                self.db.execute(
+                    "INSERT INTO moves (at, what, facts) VALUES (?,?,?)",
+                    (host.wall(), what, json.dumps(facts)),
+                )
             for number, fine, text in orders:
-                self.db.execute("UPDATE orders SET state=?, answer=? WHERE number=?", ("done" if fine else "refused", text, number))
+                self.db.execute(
+                    "UPDATE orders SET state=?, answer=? WHERE number=?",
+                    ("done" if fine else "refused", text, number),
+                )
             for letter in letters:
-                self.db.execute("INSERT INTO outbox (receiver, build, body, at, tries, state, why) VALUES (?,?,?,?,0,'due','')",
-                                (*letter, host.wall()))
+                self.db.execute(
+                    "INSERT INTO outbox (receiver, build, body, at, tries, state, why) VALUES (?,?,?,?,0,'due','')",
+                    (*letter, host.wall()),
+                )
             self.save(saved)
 
     def save(self, saved):
-        self.db.execute("INSERT INTO state VALUES (1,?,?) ON CONFLICT (one) DO UPDATE SET saved=excluded.saved, at=excluded.at",
-                        (json.dumps(saved), host.wall()))
+        self.db.execute(
+            "INSERT INTO state VALUES (1,?,?) ON CONFLICT (one) DO UPDATE SET saved=excluded.saved, at=excluded.at",
+            (json.dumps(saved), host.wall()),
+        )
 
     def restore(self):
         """(saved, seconds ago), or None for a store that is new."""
@@ -142,8 +163,12 @@
         return row and (json.loads(row[0]), max(0.0, host.wall() - row[1]))
 
     def history(self, most=100):
-        return [dict(number=n, at=at, what=what, **json.loads(facts)) for n, at, what, facts in self.db.execute(
-            "SELECT number, at, what, facts FROM moves ORDER BY number DESC LIMIT ?", (most,))][::-1]
+        return [
+            dict(number=n, at=at, what=what, **json.loads(facts))
+            for n, at, what, facts in self.db.execute(
+                "SELECT number, at, what, facts FROM moves ORDER BY number DESC LIMIT ?", (most,)
+            )
+        ][::-1]
 
     def forget(self, older_than):
         """Deliveries past the time in which a pipeline repeats them, in seconds; with them what was sent or given up."""
@@ -157,8 +182,10 @@
     def put_order(self, kind, build, by, why):
         """Its number; whichever controller acts takes it up."""
         with self.step(fenced=False):
-            return self.db.execute("INSERT INTO orders (at, kind, build, by_whom, why, state, answer) VALUES (?,?,?,?,?,'new','')",
-                                   (host.wall(), kind, build, by, why)).lastrowid
+            return self.db.execute(
+                "INSERT INTO orders (at, kind, build, by_whom, why, state, answer) VALUES (?,?,?,?,?,'new','')",
+                (host.wall(), kind, build, by, why),
+            ).lastrowid
 
     def order(self, number):
         return self.db.execute("SELECT state, answer FROM orders WHERE number=?", (number,)).fetchone()
@@ -166,7 +193,12 @@
     def withdraw_order(self, number):
         """True where nobody had taken it up: it never will be."""
         with self.step(fenced=False):
-            return self.db.execute("UPDATE orders SET state='withdrawn' WHERE number=? AND state='new'", (number,)).rowcount == 1
+            return (
+                self.db.execute(
+                    "UPDATE orders SET state='withdrawn' WHERE number=? AND state='new'", (number,)
+                ).rowcount
+                == 1
+            )
 
     def new_orders(self):
         """Orders not yet answered, as (number, kind, build, by, why); looks at the file only where another wrote to it."""
@@ -174,18 +206,25 @@
         if version == self.read_at:
             return []
         self.read_at = version
-        return self.db.execute("SELECT number, kind, build, by_whom, why FROM orders WHERE state='new' ORDER BY number").fetchall()
+        return self.db.execute(
+            "SELECT number, kind, build, by_whom, why FROM orders WHERE state='new' ORDER BY number"
+        ).fetchall()
 
     # ---- what is sent to receivers ----
 
     def letters(self, state, receiver=None, most=256):
         """(number, receiver, build, body, at, tries, why), oldest first."""
-        return self.db.execute("SELECT number, receiver, build, body, at, tries, why FROM outbox WHERE state=? AND "
-                               "receiver=ifnull(?, receiver) ORDER BY number LIMIT ?", (state, receiver, most)).fetchall()
+        return self.db.execute(
+            "SELECT number, receiver, build, body, at, tries, why FROM outbox WHERE state=? AND "
+            "receiver=ifnull(?, receiver) ORDER BY number LIMIT ?",
+            (state, receiver, most),
+        ).fetchall()
 
     def keep_letter(self, number, tries, state, why):
         with self.step():
-            self.db.execute("UPDATE outbox SET tries=?, state=?, why=? WHERE number=?", (tries, state, why[:200], number))
+            self.db.execute(
+                "UPDATE outbox SET tries=?, state=?, why=? WHERE number=?", (tries, state, why[:200], number)
+            )
 
     def send_again(self, numbers=None):
         """Dead letters become due again; all of them, or those numbered. How many."""
@@ -204,17 +243,21 @@
     def take_from(self, other, by, why):
         """All of `other` in one step, but for whose turn it is: epochs must not fall."""
         epoch = max(self.turn()[0], other.turn()[0])
-        other.snapshot(":memory:")      # raises sqlite3.Error where it is damaged, before anything is replaced
+        other.snapshot(":memory:")  # raises sqlite3.Error where it is damaged, before anything is replaced
         with self.step(fenced=False):
             for table in ("deliveries", "moves", "state", "orders", "outbox"):
                 self.db.execute(f"DELETE FROM {table}")
                 rows = other.db.execute(f"SELECT * FROM {table}").fetchall()
                 if rows:
                     self.db.executemany(f"INSERT INTO {table} VALUES ({','.join('?' * len(rows[0]))})", rows)
-            self.db.execute("INSERT INTO moves (at, what, facts) VALUES (?,?,?)",
-                            (host.wall(), "restored", json.dumps(dict(by=by, why=why))))
-            self.db.execute("INSERT INTO acting VALUES (1,?,'',0) ON CONFLICT (one) DO UPDATE SET epoch=excluded.epoch, holder=''",
-                            (epoch,))
+            self.db.execute(
+                "INSERT INTO moves (at, what, facts) VALUES (?,?,?)",
+                (host.wall(), "restored", json.dumps(dict(by=by, why=why))),
+            )
+            self.db.execute(
+                "INSERT INTO acting VALUES (1,?,'',0) ON CONFLICT (one) DO UPDATE SET epoch=excluded.epoch, holder=''",
+                (epoch,),
+            )
 
     def close(self):
         self.db.close()
--- a/gannetfront/release/turns.py
+++ b/gannetfront/release/turns.py
@@ -9,7 +9,12 @@
 class Turn:
     def __init__(self, name, patience):
         """`name` is this controller's own in its settings; `patience` in ms."""
-        self.name, self.patience, self.lease, self.renew_every = name, patience, 0.6 * patience, 0.15 * patience
+        self.name, self.patience, self.lease, self.renew_every = (
+            name,
+            patience,
+            0.6 * patience,
+            0.15 * patience,
+        )
         self.epoch, self.renewed, self.seen, self.changed, self.first = None, -1e18, None, 0.0, True
 
     def look(self, now, epoch, holder, beat):
--- a/gannetfront/release/webhooks.py
+++ b/gannetfront/release/webhooks.py
@@ -4,6 +4,7 @@
 delivery id, and CloudEvents 1.0 over HTTP, structured or binary, signed in one of the two ways. The signature is checked
 over the raw bytes, in constant time, against every secret that is valid: two of them during a rotation.
 """
+
 import base64
 import binascii
 import hmac
@@ -11,7 +12,7 @@
 
 from ..wire.http import header
 
-LONGEST = 65536         # bytes of a delivery
+LONGEST = 65536  # bytes of a delivery
 ID_LIMIT = 200
 
 
@@ -120,7 +121,13 @@
         data = told
     else:
         return told, None
-    if version != "1.0" or not isinstance(source, str) or not isinstance(ident, str) or not source or not ident:
+    if (
+        version != "1.0"
+        or not isinstance(source, str)
+        or not isinstance(ident, str)
+        or not source
+        or not ident
+    ):
         raise Refused(400, "no CloudEvents 1.0: specversion, source and id are needed")
     if not isinstance(data, dict):
         raise Refused(422, "the event has no data object")
--- a/gannetfront/sites/picture.py
+++ b/gannetfront/sites/picture.py
@@ -1,21 +1,31 @@
 """A plan as a picture: how full each survivor gets, by case, and what value remains."""
+
 import io
 
 
 def draw(plans, form="svg"):
     """Bytes of an SVG or PNG with a row of bars for each Plan."""
     import matplotlib
+
     matplotlib.use("agg")
     from matplotlib import pyplot
-    matplotlib.rcParams["svg.hashsalt"] = "gannet-sites"      # the same plan is the same file
+
+    matplotlib.rcParams["svg.hashsalt"] = "gannet-sites"  # the same plan is the same file
     zones = list(plans[0].sites.capacity)
-    fig, (left, right) = pyplot.subplots(1, 2, figsize=(11, 1.2 + 0.45 * len(plans)), width_ratios=(3, 2), sharey=True)
+    fig, (left, right) = pyplot.subplots(
+        1, 2, figsize=(11, 1.2 + 0.45 * len(plans)), width_ratios=(3, 2), sharey=True
+    )
     names, height = [" and ".join(p.lost) + " lost" for p in plans], 0.8 / max(1, len(zones))
     for nth, zone in enumerate(zones):
         rows = [n for n, p in enumerate(plans) if zone in p.full]
         left.barh([n + nth * height for n in rows], [plans[n].full[zone] for n in rows], height, label=zone)
     left.axvline(plans[0].sites.fill, color="black", linewidth=0.8, linestyle=":")
-    left.set(yticks=[n + 0.4 for n in range(len(plans))], yticklabels=names, xlabel="part of its capacity", xlim=(0, 1.05))
+    left.set(
+        yticks=[n + 0.4 for n in range(len(plans))],
+        yticklabels=names,
+        xlabel="part of its capacity",
+        xlim=(0, 1.05),
+    )
     left.invert_yaxis()
     left.legend(fontsize=8)
     right.barh([n + 0.4 for n in range(len(plans))], [p.value for p in plans], 0.6, color="grey")
--- a/gannetfront/sites/plan.py
+++ b/gannetfront/sites/plan.py
@@ -7,11 +7,13 @@
 
 Rates are invocations a second, work ms of a node, capacity ms of work a ms.
 """
+
 from itertools import combinations
 
 
 class Class:
     """One operation: what is known of it wherever it is asked for."""
+
     __slots__ = "name", "work", "value", "protected"
 
     def __init__(self, name, work, value, protected):
@@ -22,7 +24,14 @@
     """`capacity` {zone: ms a ms} · `traffic` {zone: {operation: rate}} · `classes` {operation: Class} · `price(from, to)`."""
 
     def __init__(self, capacity, traffic, classes, price, fill=0.85, lean=0.0):
-        self.capacity, self.traffic, self.classes, self.price, self.fill, self.lean = capacity, traffic, classes, price, fill, lean
+        self.capacity, self.traffic, self.classes, self.price, self.fill, self.lean = (
+            capacity,
+            traffic,
+            classes,
+            price,
+            fill,
+            lean,
+        )
 
     @classmethod
     def of(cls, fleet):
@@ -30,7 +39,12 @@
         if not fleet.site:
             raise ValueError("the fleet's settings have no site")
         protect = list(fleet.protect)
-        classes = {o.name: Class(o.name, o.work, o.billed_value, protect.index(o.name) if o.name in protect else None) for o in fleet.operation}
+        classes = {
+            o.name: Class(
+                o.name, o.work, o.billed_value, protect.index(o.name) if o.name in protect else None
+            )
+            for o in fleet.operation
+        }
         ways = {(getattr(w, "from"), w.to): w.price for w in fleet.way}
         price = lambda a, b: 0.0 if a == b else ways.get((a, b), fleet.cross_zone_price)
         traffic = {}
@@ -38,7 +52,14 @@
             traffic[site.zone] = {}
             for t in site.traffic:
                 traffic[site.zone][t.operation] = traffic[site.zone].get(t.operation, 0.0) + t.rate
-        return cls({s.zone: s.capacity for s in fleet.site}, traffic, classes, price, fleet.site_fill, fleet.site_lean)
+        return cls(
+            {s.zone: s.capacity for s in fleet.site},
+            traffic,
+            classes,
+            price,
+            fleet.site_fill,
+            fleet.site_lean,
+        )
 
     def work(self, traffic):
         """Work a ms that traffic {operation: rate} asks for."""
@@ -50,13 +71,20 @@
     def refusal_order(self):
         """Operations, the first to be refused first."""
         worth = lambda c: c.value / c.work if c.work else float("inf")
-        return [c.name for c in sorted(self.classes.values(), key=lambda c: (
-            (0, worth(c), c.name) if c.protected is None else (1, -c.protected, c.name)))]
+        return [
+            c.name
+            for c in sorted(
+                self.classes.values(),
+                key=lambda c: (0, worth(c), c.name) if c.protected is None else (1, -c.protected, c.name),
+            )
+        ]
 
     def cases(self, most=2):
         """Every zone, then every pair (and more, up to `most`), as long as one zone remains."""
         zones = list(self.capacity)
-        return [lost for many in range(1, most + 1) for lost in combinations(zones, many) if len(zones) > many]
+        return [
+            lost for many in range(1, most + 1) for lost in combinations(zones, many) if len(zones) > many
+        ]
 
     def without(self, lost):
         """The plan for the loss of those zones."""
@@ -93,7 +121,9 @@
     def __init__(self, sites, lost, left, room, served, refused, kept):
         self.sites, self.lost, self.left, self.served, self.refused = sites, lost, left, served, refused
         away = {z: sites.work(ops) - kept.get(z, 0.0) for z, ops in served.items()}
-        self.moves = self.spread({z: w for z, w in away.items() if w > 1e-9}, {z: room[z] - kept[z] for z in left})
+        self.moves = self.spread(
+            {z: w for z, w in away.items() if w > 1e-9}, {z: room[z] - kept[z] for z in left}
+        )
         taken = {z: sum(w for (_, to), w in self.moves.items() if to == z) for z in left}
         self.full = {z: (kept[z] + taken[z]) / sites.capacity[z] if sites.capacity[z] else 0.0 for z in left}
         asked = sum(map(sites.value, sites.traffic.values()))
@@ -107,8 +137,15 @@
         part = max(min(1.0, total / room), self.sites.lean)
         space, left, moves = {z: part * h for z, h in headroom.items()}, dict(away), {}
         if part <= total / room + 1e-12:
-            return {(a, b): w * headroom[b] / room for a, w in away.items() for b in headroom if a != b and headroom[b] > 0}
-        for a, b in sorted(((a, b) for a in away for b in headroom if a != b), key=lambda ab: (self.sites.price(*ab), ab)):
+            return {
+                (a, b): w * headroom[b] / room
+                for a, w in away.items()
+                for b in headroom
+                if a != b and headroom[b] > 0
+            }
+        for a, b in sorted(
+            ((a, b) for a in away for b in headroom if a != b), key=lambda ab: (self.sites.price(*ab), ab)
+        ):
             moved = min(left[a], space[b])
             if moved > 1e-12:
                 moves[a, b] = moved
