gannet-audit judges the ramp: a site that is back is let in by steps

Change: audit/ramp.py holds the dispatches of each proxy, and of all together, in the first two seconds of a site's return against the quickest ramp of docs/sites.md, with three deviations of chance and two dispatches beside; only invocations that began in that time, only proxies that had left the site out and neither began anew nor stood still.

--- a/gannetfront/audit/sites.py
+++ b/gannetfront/audit/sites.py
@@ -6,6 +6,8 @@
 
 from collections import defaultdict
 
+from .ramp import Returns
+
 SPAN, LEAST = 2000.0, 25  # ms; tries of an operation in it, below which its share says nothing
 NOTICED, SETTLED = (
     3000.0,
@@ -20,6 +22,7 @@
     "order": "what is refused follows the order",
     "calm": "nothing is refused with all sites there",
     "sent": "nothing new to a site that is lost",
+    "ramp": "a site that is back is let in by steps",
 }
 
 
@@ -101,4 +104,5 @@
                     stray > STRAY * len(mine) + 2,
                     f"proxy {proxy} sent {stray} of {len(mine)} to {zone}, lost since {since:.0f}",
                 )
+    found["ramp"] = Returns(list(fleet.zone), tries, dispatches, events).judge()
     return {rule: (checked, stories) for rule, (checked, stories) in found.items()}
--- a/tests/test_stand.py
+++ b/tests/test_stand.py
@@ -283,35 +283,47 @@
         )
 
 
-def rows(begin, end, refused, zone=0):
-    """Tries and dispatches, fifty a second of each operation, of which `refused` {operation: share} are throttled."""
+def rows(begin, end, refused, zones, proxy="proxy/0"):
+    """Tries and dispatches, fifty a second of each operation, of which `refused` {operation: share} are throttled; by turns to `zones`."""
     tries, sent = [], []
     for n in range(int((end - begin) / 20)):
         at = begin + 20.0 * n
         for op in ("read", "order"):
             no = (n * 7919 % 100) < 100 * refused.get(op, 0.0)
-            tries.append(dict(sent=at, operation=op, answer="throttled" if no else "succeeded"))
+            request = f"{proxy} {op} {at}"
+            tries.append(
+                dict(request=request, sent=at, operation=op, answer="throttled" if no else "succeeded")
+            )
             if not no:
-                sent.append(dict(came=at, proxy="proxy/0", zone=zone))
+                sent.append(dict(request=request, came=at, proxy=proxy, zone=zones[n % len(zones)]))
     return tries, sent
 
 
+BOTH, ONLY_B = (0, 1), (1,)
+
+
 @pytest.mark.parametrize(
-    "during, zone, after, wrong",
+    "during, zones, first, after, wrong",
     [
-        (dict(read=0.6), 1, {}, None),
-        (dict(read=1.0, order=0.3), 1, {}, None),
-        (dict(read=0.2, order=0.6), 1, {}, "order"),
-        (dict(read=0.6), 0, {}, "sent"),
-        (dict(read=0.6), 1, dict(read=0.3), "calm"),
+        (dict(read=0.6), ONLY_B, ONLY_B, {}, None),
+        (dict(read=1.0, order=0.3), ONLY_B, ONLY_B, {}, None),
+        (dict(read=0.2, order=0.6), ONLY_B, ONLY_B, {}, "order"),
+        (dict(read=0.6), BOTH, ONLY_B, {}, "sent"),
+        (dict(read=0.6), ONLY_B, ONLY_B, dict(read=0.3), "calm"),
+        (dict(read=0.6), ONLY_B, BOTH, {}, "ramp"),
+        (dict(read=0.6), ONLY_B, (0, *ONLY_B * 20), {}, None),
     ],
 )
-def test_the_judge_of_a_lost_site(during, zone, after, wrong):
+def test_the_judge_of_a_lost_site(during, zones, first, after, wrong):
+    """Zone a is lost from 8 to 20 s. Proxy 0 does as the case says, proxy 1 as it should until the return."""
     fleet = load.parse(schema.Fleet, FLEET + 'site { zone: "b" capacity: 8 }', "f")
-    parts = rows(0, 8000, {}), rows(8000, 20000, during, zone), rows(20000, 50000, after)
+    parts = []
+    for proxy, sent_to in (("proxy/0", zones), ("proxy/1", ONLY_B)):
+        parts += [rows(0, 8000, {}, BOTH, proxy), rows(8000, 20000, during, sent_to, proxy)]
+        parts += [rows(20000, 22000, {}, first, proxy), rows(22000, 50000, after, BOTH, proxy)]
     found = audit.judge(
         fleet,
-        {0: "b"},
+        {0: "b", 1: "b"},
         sum((p[0] for p in parts), []),
         sum((p[1] for p in parts), []),
         [dict(at=8000.0, detail="20000", who="a", what="site struck")],
