--- a/tests/test_stand.py
+++ b/tests/test_stand.py
@@ -130,6 +130,24 @@
     assert busy.look(dict(a=r.LOST)).need == pytest.approx(1 - 0.85 * 16 / (s.MOST_OFF * 19.2), abs=0.01)
 
 
+def test_who_has_just_begun_refuses_by_the_plan_until_it_knows_what_is_asked():
+    """A proxy that began in the middle of a loss refused nothing that its plan refuses, and filled the survivors past their room.
+
+    How much is asked was taken at its first look at the loss, from a window in which its clients had not come back yet: with one read
+    in the first look the scale was 0.02 and the share refused 0, where the others refused 0.58 of all reads.
+    """
+    runs = Runs(made(0.8), asked=(1, 0, 0))
+    runs.look()
+    assert runs.look(dict(a=r.LOST)).need == pytest.approx(1 - 0.85 * 16 / 19.2, abs=0.01)
+    runs.asked = (13, 8, 5)
+    runs.look(dict(a=r.LOST), times=3)
+    assert runs.stand.shares[0] > 0.5
+    # Where few come back in the end, it goes by those: at a quiet hour there is room for all.
+    quiet = Runs(made(0.8), asked=(4, 2, 2))
+    quiet.look(dict(a=r.LOST), times=12)
+    assert quiet.stand.need == 0.0
+
+
 def test_late_answers_have_more_refused_one_step_an_answer_and_the_lack_of_them_less():
     runs = Runs(made(0.8))
     runs.look(times=8)
