A proxy that begins in a loss refuses by the plan until it knows what it is asked for

Symptom: one that began while a site was away refused nothing, where its plan and all others refuse more than half of the reads. Cause: the scale of the plan was taken once, at the first look at the loss, also from a window in which its clients had not come back. Change: the plan's own figures until eight looks of traffic are there, then the scale. Established proxies go by their window as before.

--- a/gannetfront/sites/stand.py
+++ b/gannetfront/sites/stand.py
@@ -25,6 +25,7 @@
 )  # ms: a zone is back for so long before its first step, alone; from step to step
 HELD_SETTLE, HELD_EACH = 1000.0, 500.0  # the same for the holder, which sees that the others see it too
 SLOTS = 16  # looks over which the traffic is counted
+KNOWN_SLOTS = SLOTS // 2  # looks from its start after which a proxy knows what it is asked for
 USUAL, ABOUT = (
     60000.0,
     0.85,
@@ -200,10 +201,13 @@
         self.waited += 1
         missing = any(w < 1 for w in self.weights.values()) or any(p < PART for p in self.parts.values())
         if missing and not self.missing:
-            # By what was asked until now: at a quiet hour nothing need be refused.
-            self.scale = min(MOST_OFF, mine / self.every / self.planned) if self.planned else 1.0
+            self.scale = None
             self.judged(now)
             seen = late = 0
+        if missing and self.scale is None and len(self.slots) >= KNOWN_SLOTS:
+            # By what was asked until now: at a quiet hour nothing need be refused. Of a proxy that has just begun nothing is known of
+            # that, its clients are on their way back: until then by the plan, as at all others.
+            self.scale = min(MOST_OFF, mine / self.every / self.planned) if self.planned else 1.0
         self.missing = missing
         demand = self.fleet * (self.scale or 1.0)
         self.need = max(0.0, 1 - left / demand) if missing and demand else 0.0
