sites/: failure detector, monitor, ramp and shedding by the field's names; orders are an enumeration

Stand was two jobs: sites/ramp.py lets one site in again (RampStage, ReturnOrder), sites/shedding.py says what is refused. Sight is the Monitor, recognition the failure detector; told, look, saw, mute, heft have names that tell a newcomer what they do. Logs name stages and orders instead of 0 to 7.

--- a/bench/sites.py
+++ b/bench/sites.py
@@ -165,7 +165,7 @@
     """Zones that were left out at any proxy on a drawn day without a loss: (seed, lines, {zone: looks})."""
     from gannetfront.host import Jitter
     from gannetfront.lab.sites import world_of
-    from gannetfront.sites.recognition import AWAY
+    from gannetfront.sites.failure_detector import AWAY
 
     draw, lines = (
         Jitter(seed),
@@ -189,14 +189,14 @@
 
         def look(life, shell=shell, inner=shell.look):
             inner(life)
-            for zone, weight in shell.stand.weights.items() if shell.up else ():
+            for zone, weight in shell.shedding.weights.items() if shell.up else ():
                 # Left out though a node of it runs, of those that this proxy's list has: a list may name only what is gone.
                 there = [
                     world.by_addr[e[0]]
                     for e in shell.listed.values()
-                    if e[5] == "ready" and shell.sight.zone_of(e) == zone and e[0] in world.by_addr
+                    if e[5] == "ready" and shell.monitor.zone_of(e) == zone and e[0] in world.by_addr
                 ]
-                away = shell.sight.zones.zones[zone].state in AWAY and weight == 0
+                away = shell.monitor.detector.zones[zone].state in AWAY and weight == 0
                 wrong = away and any(
                     p.state == "up" and not p.node.silent and p.at in shell.listed for p in there
                 )
--- a/gannetfront/duties/returning.py
+++ b/gannetfront/duties/returning.py
@@ -1,13 +1,13 @@
 """The duty `site-return`: who holds it tells all proxies how far a site that is back is let in.
 
 A step is an order about all sites at once, each in three bits, below a number that rises: a proxy that missed some has all of it with
-the next. The holder says how far it has gone itself, quicker than a proxy alone may (sites/stand.py), and nothing of a site that it does
-not see or does not know yet. Whoever follows goes there by steps of its own. Orders of operators (hold, return) are told with each step, and taken up by whoever follows from its own place. Nobody holds
-it: each proxy goes up its own slower ramp.
+the next. The leader says how far it has gone itself, quicker than a proxy alone may (sites/ramp.py), and nothing of a site that it does
+not see or does not know yet. Whoever follows goes there by stages of its own. Orders of operators (hold, return) are told with each
+step, and taken up by the next leader from its own place. Nobody leads: each proxy goes up its own slower ramp.
 """
 
 from .. import host
-from ..sites.stand import FORCED, HELD_DOWN, NO_WORD
+from ..sites.ramp import ReturnOrder
 from ..wire import frames
 from .shell import Duty, Lost
 
@@ -16,7 +16,7 @@
     1000.0,
     8000.0,
 )  # ms for a proxy's word that it has heard; for an operator's order to have been told to all
-ORDERS = dict(hold=HELD_DOWN, go=FORCED, free=NO_WORD)
+ORDERS = dict(hold=ReturnOrder.HELD_OUT, go=ReturnOrder.LET_IN, free=ReturnOrder.NO_ORDER)
 
 
 def packed(number, orders):
@@ -39,7 +39,7 @@
         """`sites` is this proxy's AtProxy, whose plan is acted upon; `file` keeps the last token over a restart."""
         self.every, self.sites, self.log, self.file, self.token = d.every, sites, log, file, None
         self.names, self.wishes = (
-            list(sites.stand.zones),
+            list(sites.shedding.ramps),
             [],
         )  # [(site, order, told whether it reached all that are there)]
 
@@ -48,14 +48,14 @@
         return step, self.token
 
     def told(self):
-        stand, zones = self.sites.stand, self.sites.zones.zones
+        shedding, zones = self.sites.shedding, self.sites.detector.zones
         return dict(
             sites={
                 name: dict(
                     state=zones[name].state,
                     evidence=zones[name].evidence,
-                    weight=stand.weights[name],
-                    held_down=stand.zones[name].order == HELD_DOWN,
+                    weight=shedding.weights[name],
+                    held_down=shedding.ramps[name].order == ReturnOrder.HELD_OUT,
                 )
                 for name in self.names
             },
@@ -72,10 +72,11 @@
                 number = max([unpacked(step, 0)[0] for step in self.each(held, None)], default=0)
             wishes, self.wishes = self.wishes, []
             for name, order, _ in wishes:
-                self.sites.stand.ordered(host.now(), {name: order})
-            orders = self.sites.orders()
+                self.sites.shedding.on_orders(host.now(), {name: order})
+            orders = self.sites.orders_to_give()
             if orders != told:
-                self.log.info("site return", orders=orders, states=self.sites.zones.for_dispatches())
+                names = {name: order.name for name, order in orders.items()}
+                self.log.info("site return", orders=names, states=self.sites.detector.for_dispatches())
             number, told = number + 1, orders
             step = packed(number, [orders[name] for name in self.names])
             steps = self.each(held, step)
@@ -125,7 +126,7 @@
             except host.Timeout:
                 raise OSError("its disk does not answer") from None
             self.token = token
-        self.sites.stand.ordered(host.now(), dict(zip(self.names, unpacked(step, len(self.names))[1])))
+        self.sites.shedding.on_orders(host.now(), dict(zip(self.names, unpacked(step, len(self.names))[1])))
         return True
 
     def order(self, verb, site):
--- a/gannetfront/lab/sites.py
+++ b/gannetfront/lab/sites.py
@@ -1,4 +1,4 @@
-"""The loss of a site in virtual time: the same cores as at a proxy (sites/sight.py), over the lab's nodes and clients.
+"""The loss of a site in virtual time: the same cores as at a proxy (sites/monitor.py), over the lab's nodes and clients.
 
 No members: a zone is told by its nodes alone, and nobody leads the return.
 """
@@ -6,8 +6,8 @@
 from .. import host
 from ..interface import CANCELLED, ERROR, GONE
 from ..sites.plan import Sites
-from ..sites.sight import LOOK, Sight
-from ..sites.stand import Stand
+from ..sites.monitor import TICK, Monitor
+from ..sites.shedding import Shedding
 from .world import Flight, Shell, Try, World
 
 NOBODY = dict(alone=None, unheard=None)
@@ -18,17 +18,17 @@
         world = self.world
         sites, zone = Sites.of(world.facts), world.day.zones[self.zone]
         mates = len(range(self.zone, world.day.proxies, len(world.day.zones)))
-        self.stand = Stand(
-            sites, list(world.day.operations), sites.work(sites.traffic[zone]) / mates, LOOK, world.time
+        self.shedding = Shedding(
+            sites, list(world.day.operations), sites.work(sites.traffic[zone]) / mates, TICK, world.time
         )
         fleet = world.day.fleet
-        self.sight, self.listed = (
-            Sight(world.day.zones, zone, fleet["cold"], fleet["cold_for"], self.stand),
+        self.monitor, self.listed = (
+            Monitor(world.day.zones, zone, fleet["cold"], fleet["cold_for"], self.shedding),
             {},
         )
         self.draw = host.Jitter(world.day.seed * 31 + self.number)
         super().start(kept)
-        world.later(LOOK * self.draw.random(), self.look, self.lives)
+        world.later(TICK * self.draw.random(), self.look, self.lives)
 
     def tell(self, *event):
         if event[0] != "listed" or not self.up:
@@ -40,7 +40,7 @@
         self.hear(kind, entries)
 
     def hear(self, kind, entries):
-        self.carrier.events.append(("listed", kind, self.sight.seen(entries)))
+        self.carrier.events.append(("listed", kind, self.monitor.entries_for_decisions(entries)))
         self.poke()
 
     def look(self, life):
@@ -48,7 +48,7 @@
             return
         world, entries = self.world, list(self.listed.values())
         out = [(self.listed.get(flight.addr), flight.begun) for flight in self.flights.values()]
-        for zone, addr in self.sight.to_ask(world.time, entries, out, self.draw.random):
+        for zone, addr in self.monitor.to_probe(world.time, entries, out, self.draw.random):
             place = world.by_addr.get(addr)  # answers as they would come, at once
             fine = (
                 place is not None
@@ -56,28 +56,28 @@
                 and not place.node.silent
                 and not world.severed(place, self.number)
             )
-            self.sight.answered(world.time, zone, addr, fine, 1.0)
-        _, moved, gone = self.sight.look(world.time, entries, {}, NOBODY)
+            self.monitor.on_probe(world.time, zone, addr, fine, 1.0)
+        _, moved, gone = self.monitor.tick(world.time, entries, {}, NOBODY)
         stage, _, _, _, ver, phase = world.stage_facts()
-        word = self.sight.word(world.time, stage, ver, phase, entries)
+        word = self.monitor.stage_vote(world.time, stage, ver, phase, entries)
         if word and not self.cut():
             world.later(world.wire(), world.control, "vote", self.number, self.lives, *word)
         if moved:
             self.hear("changes", entries)
             for flight in list(self.flights.values()):
-                if self.sight.zone_of(self.listed.get(flight.addr)) in gone:
+                if self.monitor.zone_of(self.listed.get(flight.addr)) in gone:
                     flight.land(CANCELLED)
-        world.later(LOOK, self.look, life)
+        world.later(TICK, self.look, life)
 
     def told_as(self, flight, status):
         entry = self.listed.get(flight.addr)
-        self.sight.saw(
+        self.monitor.on_outcome(
             self.world.time, entry, status, self.world.time - flight.begun, flight.held.extra.intent.op["slo"]
         )
-        return self.sight.told(entry, status)
+        return self.monitor.status_for_decisions(entry, status)
 
     def vote(self, stage, ver, verdict):
-        if self.sight.holds(verdict, ver, self.listed.values()):
+        if self.monitor.withholds_vote(verdict, ver, self.listed.values()):
             self.tell("stage_told", True, stage, 0.0, 0.0, ERROR, ver, 0)
         else:
             super().vote(stage, ver, verdict)
@@ -88,8 +88,8 @@
         shell = self.shell
         if life == shell.lives and not self.over:
             op = self.world.op_of[self.arrival.operation]
-            shell.stand.asked(op)
-            if shell.stand.refuses(op, shell.draw.random()):
+            shell.shedding.on_request(op)
+            if shell.shedding.refuses(op, shell.draw.random()):
                 self.answered("throttled", self.world.day.rules["advice"] * (0.5 + 0.5 * shell.draw.random()))
                 return
         super().arrive(life)
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -132,7 +132,7 @@
 
     def seen(self, entries):
         """As the decisions are to have them."""
-        return self.sites.seen(entries) if self.sites else entries
+        return self.sites.entries_for_decisions(entries) if self.sites else entries
 
     def read_kept(self):
         data = host.read_file(self.file.path)
@@ -159,7 +159,7 @@
 
     def saw(self, addr, op, status, took):
         """How a dispatch ended: of use for what is said of zones, and, where they are taken, for tallies."""
-        self.sites.saw(addr, op, status, took)
+        self.sites.on_outcome(addr, op, status, took)
         if self.period:
             self.sample(addr, op, status, took)
 
@@ -338,7 +338,7 @@
         if d.name == "seal":
             made[d.name] = Sealing(d, proxy.rounds.trail, log)
         elif d.name == "site-return":
-            if not (proxy.sites and proxy.sites.stand):
+            if not (proxy.sites and proxy.sites.shedding):
                 raise ValueError(
                     "duty site-return: the fleet's settings do not have site_acts, so there is nothing to lead"
                 )
--- a/gannetfront/proxy/sites.py
+++ b/gannetfront/proxy/sites.py
@@ -1,4 +1,4 @@
-"""The loss of a site at one proxy: what it sees goes to the cores (sites/sight.py), what they say goes to the decisions as lists and to
+"""The loss of a site at one proxy: what it sees goes to the cores (sites/monitor.py), what they say goes to the decisions as lists and to
 clients as refusals. Nodes that answer nothing are asked whether they are there."""
 
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
@@ -6,8 +6,8 @@
 from .. import host
 from ..interface import HOLD
 from ..sites.plan import Sites
-from ..sites.sight import LOOK, Sight
-from ..sites.stand import Stand
+from ..sites.monitor import TICK, Monitor
+from ..sites.shedding import Shedding
 from ..wire import BadAnswer, http
 
 PROBE_LIMIT = 250.0  # ms for a node's answer
@@ -26,7 +26,7 @@
 
     def __init__(self, fleet, mine, facts, rounds, kept, membership, log, chance):
         self.rounds, self.kept, self.membership, self.log, self.chance = rounds, kept, membership, log, chance
-        self.slo_times, self.ops, self.stand = (
+        self.slo_times, self.ops, self.shedding = (
             [o.slo_time for o in facts.operations],
             [o.name for o in fleet.operation],
             None,
@@ -39,13 +39,15 @@
         )
         if fleet.site_acts:
             sites = Sites.of(fleet)
-            self.stand = Stand(sites, self.ops, planned(sites, mine, fleet), LOOK, host.now())
+            self.shedding = Shedding(sites, self.ops, planned(sites, mine, fleet), TICK, host.now())
             rounds.turned_away, rounds.told_as, rounds.holds = self.turned_away, self.told_as, self.holds
         self.staged = lambda: None  # (answer, stage, since, cap, status, build, phase) as told last
-        self.sight = Sight(
-            list(fleet.zone), mine.zone or fleet.zone[0], facts.cold_share, facts.warm_within, self.stand
+        self.monitor = Monitor(
+            list(fleet.zone), mine.zone or fleet.zone[0], facts.cold_share, facts.warm_within, self.shedding
         )
-        self.zones, self.seen, self.orders = self.sight.zones, self.sight.seen, self.sight.orders
+        self.detector = self.monitor.detector
+        self.entries_for_decisions = self.monitor.entries_for_decisions
+        self.orders_to_give = self.monitor.orders_to_give
 
     def entries(self):
         return [entry for entry, _ in self.kept.nodes.values()]
@@ -53,61 +55,63 @@
     def entry(self, addr):
         return self.kept.nodes[addr][0] if addr in self.kept.nodes else None
 
-    def saw(self, addr, op, status, took):
+    def on_outcome(self, addr, op, status, took):
         """How a dispatch ended."""
-        self.sight.saw(host.now(), self.entry(addr), status, took, self.slo_times[op])
+        self.monitor.on_outcome(host.now(), self.entry(addr), status, took, self.slo_times[op])
 
-    def look(self):
+    def tick(self):
         now, heard, standing = host.now(), {}, dict(alone=None, unheard=None)
         if self.membership:
             heard, standing = self.membership.core.by_zone(now), self.membership.core.standing(now)
-        before = self.levels()
-        told, moved, gone = self.sight.look(now, self.entries(), heard, standing, self.leading())
+        before = self.stages()
+        told, moved, gone = self.monitor.tick(now, self.entries(), heard, standing, self.leading())
         for zone, state, evidence in told:
             self.log.warning("zone", zone=zone, state=state, evidence=evidence)
         told = self.staged()
-        word = self.stand and told and self.sight.word(now, told[1], told[5], told[6], self.entries())
+        word = (
+            self.shedding and told and self.monitor.stage_vote(now, told[1], told[5], told[6], self.entries())
+        )
         if word:
             self.rounds.link.vote(
                 *word, "a site that carries it is not whole" if word[2] == HOLD else "its sites are whole"
             )
         if not moved:
             return
-        self.log.warning("site weights", weights=self.stand.weights, before=before, refused=self.shares())
-        self.rounds.tell("listed", "changes", self.seen(self.entries()))
+        self.log.warning("site weights", weights=self.shedding.weights, before=before, refused=self.shares())
+        self.rounds.tell("listed", "changes", self.entries_for_decisions(self.entries()))
         for flight in list(self.rounds.flights.values()):
             # Nobody answers there: what may run again elsewhere goes there now, of the rest its client hears now.
-            if self.sight.zone_of(self.entry(flight.addr)) in gone:
+            if self.monitor.zone_of(self.entry(flight.addr)) in gone:
                 flight.stop.set()
 
-    def levels(self):
-        return {name: zone.level for name, zone in self.stand.zones.items()} if self.stand else {}
+    def stages(self):
+        return {name: ramp.stage.name for name, ramp in self.shedding.ramps.items()} if self.shedding else {}
 
     def shares(self):
-        return {self.ops[op]: round(share, 3) for op, share in self.stand.shares.items()}
+        return {self.ops[op]: round(share, 3) for op, share in self.shedding.shares.items()}
 
     # ---- asked by the round loop ----
 
     def turned_away(self, op):
         """(why, ms until a client may come back) for what is refused now, or None."""
-        self.stand.asked(op)
-        if not self.stand.refuses(op, self.chance.random()):
+        self.shedding.on_request(op)
+        if not self.shedding.refuses(op, self.chance.random()):
             return None
         self.refused += 1
         # The longest that clients heed, spread: it is seconds at the least until the site is back.
         return AWAY_WHY, self.longest * (0.5 + 0.5 * self.chance.random())
 
     def told_as(self, addr, status):
-        return self.sight.told(self.entry(addr), status)
+        return self.monitor.status_for_decisions(self.entry(addr), status)
 
     def holds(self, verdict, ver):
-        return self.sight.holds(verdict, ver, self.entries())
+        return self.monitor.withholds_vote(verdict, ver, self.entries())
 
     # ---- greenlets ----
 
     def probes(self):
         out = [(self.entry(flight.addr), flight.begun) for flight in self.rounds.flights.values()]
-        for zone, addr in self.sight.to_ask(host.now(), self.entries(), out, self.chance.random):
+        for zone, addr in self.monitor.to_probe(host.now(), self.entries(), out, self.chance.random):
             host.spawn(self.probe, zone, addr)
 
     def probe(self, zone, addr):
@@ -136,16 +140,16 @@
         finally:
             if stream:
                 stream.close()
-        self.sight.answered(host.now(), zone, addr, fine, host.now() - begun)
+        self.monitor.on_probe(host.now(), zone, addr, fine, host.now() - begun)
 
     def run(self):
         """Not in step with other proxies: each begins at a moment of its own."""
-        host.sleep(LOOK * self.chance.random())
+        host.sleep(TICK * self.chance.random())
         while True:
-            if self.stand:
+            if self.shedding:
                 self.probes()
-            host.sleep(LOOK)
-            self.look()
+            host.sleep(TICK)
+            self.tick()
 
     def metrics(self):
         away = GaugeMetricFamily(
@@ -153,16 +157,16 @@
             "1 where this proxy takes the zone for lost, cut off or silent",
             labels=("zone",),
         )
-        for name, gone in self.sight.away().items():
+        for name, gone in self.monitor.away().items():
             away.add_metric((name,), gone)
         yield away
-        if self.stand:
+        if self.shedding:
             weight = GaugeMetricFamily(
                 "gannet_zone_weight",
                 "part of its usual share of dispatches that the zone gets",
                 labels=("zone",),
             )
-            for name, part in self.stand.weights.items():
+            for name, part in self.shedding.weights.items():
                 weight.add_metric((name,), part)
             yield weight
             yield CounterMetricFamily(
--- a/gannetfront/sites/failure_detector.py
+++ b/gannetfront/sites/failure_detector.py
@@ -39,29 +39,29 @@
 PRESENT = HERE, HALF, SLOW
 
 
-class Zone:
+class ZoneView:
     def __init__(self):
         self.state, self.evidence, self.usual = UNKNOWN, "", deque(maxlen=USUAL)
         self.known = False  # something answered there, in this life of the process and of the zone's nodes
-        self.gone_at, self.hold, self.held_until = None, FIRST_HOLD, 0.0
+        self.gone_at, self.hold_time, self.held_until = None, FIRST_HOLD, 0.0
         self.silent = set()  # nodes that answered nothing while it was taken for away
         self.reached = True  # somebody answered there when last asked, whatever else stands
-        self.had, self.mute = (
+        self.had_nodes, self.unresponsive = (
             False,
             0.0,
         )  # it had nodes that were listed ready; part of those asked lately that answered nothing
 
 
-class Zones:
-    """Events: outcome(now, zone, node, answered, took), took in ms. `look(now, ...)` returns what changed."""
+class FailureDetector:
+    """Events: on_outcome(now, zone, node, answered, took), took in ms. `tick(now, ...)` returns what changed."""
 
     def __init__(self, zones, mine):
-        self.zones, self.mine, self.outcomes = {z: Zone() for z in zones}, mine, deque(maxlen=MOST)
+        self.zones, self.mine, self.outcomes = {z: ZoneView() for z in zones}, mine, deque(maxlen=MOST)
 
-    def outcome(self, now, zone, node, answered, took):
+    def on_outcome(self, now, zone, node, answered, took):
         self.outcomes.append((now, zone, node, answered, took))
 
-    def look(self, now, heard, standing, listed):
+    def tick(self, now, heard, standing, listed):
         """[(zone, state, evidence)] of the zones whose state is another now. `heard` {zone: (members alive as far as is known, heard by
         this one lately, all)}; `standing` as Members.standing; `listed` {zone: (nodes ready, nodes)}."""
         while self.outcomes and self.outcomes[0][0] < now - SPAN:
@@ -118,10 +118,10 @@
     def state_of(self, name, zone, nodes, heard, standing, listed):
         alive, here, all_members = heard
         answered, silent = sum(r[0] for r in nodes.values()), sum(r[1] for r in nodes.values())
-        mute = [n for n, r in nodes.items() if r[1] and not r[0]]
+        unresponsive = [n for n, r in nodes.items() if r[1] and not r[0]]
         zone.known = zone.known or answered > 0
         zone.reached = bool(answered) or zone.reached and silent < LEAST
-        zone.mute = len(mute) / len(nodes) if nodes and silent >= LEAST else 0.0
+        zone.unresponsive = len(unresponsive) / len(nodes) if nodes and silent >= LEAST else 0.0
         told = (
             f"{answered} answered, {silent} not, at {len(nodes)} nodes; {here} of {all_members} proxies heard, {alive} said to be there; "
             f"{listed[0]} of {listed[1]} nodes listed ready"
@@ -131,18 +131,18 @@
         if standing["unheard"] and name != self.mine and here and not answered and silent:
             return ONE_WAY, f"others are heard and did not answer for {standing['unheard']:.0f} ms; {told}"
         members_gone = all_members and not alive and not here
-        zone.had = zone.had or listed[0] > 0
-        if zone.had and not listed[0] and not answered and not members_gone:
+        zone.had_nodes = zone.had_nodes or listed[0] > 0
+        if zone.had_nodes and not listed[0] and not answered and not members_gone:
             return NODES, f"none of its nodes is listed ready; {told}"
         if (
-            not nodes and zone.state in AWAY and zone.had
+            not nodes and zone.state in AWAY and zone.had_nodes
         ):  # one that never had a node is told by its proxies alone
             return zone.state, f"nothing was sent there lately; {told}"
         # One node, however often it is asked, is no zone.
         if (
             not answered
             and silent >= LEAST
-            and len(mute) >= min(2, listed[0])
+            and len(unresponsive) >= min(2, listed[0])
             or not nodes
             and members_gone
             and not listed[0]
@@ -154,11 +154,11 @@
             return NODES, told
         # Asked and without an answer, but too seldom, or at too few nodes, to be told apart by symptom: no sign of its return. A draw that
         # met one node only once gave a lost zone its traffic back.
-        if not answered and zone.state in AWAY and (nodes or zone.had):
+        if not answered and zone.state in AWAY and (nodes or zone.had_nodes):
             return zone.state, told
         if not answered and zone.state in (ALONE, ONE_WAY) and not zone.reached:
             return NODES, told
-        if mute and len(mute) >= PART * len(nodes) and silent >= LEAST:
+        if unresponsive and len(unresponsive) >= PART * len(nodes) and silent >= LEAST:
             return HALF, told
         if zone.state == UNKNOWN and not zone.known:
             return UNKNOWN, told
@@ -180,12 +180,12 @@
         """One that went again soon after it had come back is held to be coming and going, for longer each time."""
         if state in AWAY and zone.state not in AWAY and zone.state != FLAPS:
             again = zone.gone_at is not None and now - zone.gone_at < AGAIN
-            zone.hold = min(LONGEST_HOLD, 2 * zone.hold) if again else FIRST_HOLD
+            zone.hold_time = min(LONGEST_HOLD, 2 * zone.hold_time) if again else FIRST_HOLD
             zone.gone_at = now
             if again:
-                zone.held_until = now + zone.hold
+                zone.held_until = now + zone.hold_time
         if state in AWAY and zone.state == FLAPS:
-            zone.gone_at, zone.held_until = now, max(zone.held_until, now + zone.hold)
+            zone.gone_at, zone.held_until = now, max(zone.held_until, now + zone.hold_time)
         if state == HERE and now < zone.held_until:
             return (
                 FLAPS,
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -18,7 +18,15 @@
     TIMEOUT,
     UNCONNECTED,
 )
-from gannetfront.sites import recognition as r, stand as s
+from gannetfront.sites import failure_detector as r, shedding as s
+from gannetfront.sites.ramp import (
+    LED_SETTLE_TIME,
+    LED_STAGE_TIME,
+    ORDER_LIFETIME,
+    SETTLE_TIME,
+    WEIGHTS,
+    ReturnOrder,
+)
 from gannetfront.sites.plan import Class, Sites
 
 OPS = {
@@ -31,30 +39,30 @@
 
 
 def made(load=0.8, zones="abc", scale=1.0):
-    """A Stand of a proxy that has its even part of 3 proxies, at `load` of the fleet."""
+    """A Shedding of a proxy that has its even part of 3 proxies, at `load` of the fleet."""
     rate = load * 8 * 1000 / 60
     traffic = {z: {"read": 0.5 * rate, "order": 0.3 * rate, "debit": 0.2 * rate} for z in zones}
     sites = Sites({z: 8.0 for z in zones}, traffic, OPS, lambda a, b: 0.0)
-    return s.Stand(sites, NAMES, sites.work(traffic["a"]) * scale, LOOK, 0.0)
+    return s.Shedding(sites, NAMES, sites.work(traffic["a"]) * scale, LOOK, 0.0)
 
 
 class Runs:
     """Looks on end, with steady traffic and answers."""
 
     def __init__(self, stand, asked=(13, 8, 5), late=0):
-        self.stand, self.now, self.asked, self.late = stand, 0.0, asked, late
+        self.shedding, self.now, self.asked, self.late = stand, 0.0, asked, late
 
     def look(self, states=(), hefts=WELL, times=1, **facts):
         for _ in range(times):
             for op, n in enumerate(self.asked):
                 for _ in range(n):
-                    self.stand.asked(op)
-            for zone, weight in self.stand.weights.items():
+                    self.shedding.on_request(op)
+            for zone, weight in self.shedding.weights.items():
                 for n in range(6 if weight else 0):
-                    self.stand.ended(zone, self.now, n < self.late, 0.1)
+                    self.shedding.on_outcome(zone, self.now, n < self.late, 0.1)
             self.now += LOOK
-            self.stand.look(self.now, dict(states), hefts, **facts)
-        return self.stand
+            self.shedding.tick(self.now, dict(states), hefts, **facts)
+        return self.shedding
 
     def until(self, true, most=400, **facts):
         """Looks until it is true: ms that it took."""
@@ -84,50 +92,50 @@
 @given(LOOKS, st.floats(0.1, 1.4))
 def test_whatever_is_seen_some_zone_is_used_none_that_is_away_and_refusals_follow_the_order(looks, load):
     runs = Runs(made(load))
-    stand, orders = runs.stand, {}
+    shedding, orders = runs.shedding, {}
     runs.look()
     for states, hefts, runs.asked, runs.late, leading, told in looks:
         if told:
-            stand.ordered(runs.now, told)
+            shedding.on_orders(runs.now, told)
             orders = told
-        before = {name: zone.level for name, zone in stand.zones.items()}
+        before = {name: zone.stage for name, zone in shedding.ramps.items()}
         runs.look(states, hefts, leading=leading)
-        levels = {name: zone.level for name, zone in stand.zones.items()}
-        assert any(stand.weights.values()) and set(stand.weights.values()) <= set(s.STEPS)
+        levels = {name: zone.stage for name, zone in shedding.ramps.items()}
+        assert any(shedding.weights.values()) and set(shedding.weights.values()) <= set(WEIGHTS)
         for name, state in states.items():
-            forced = orders.get(name) == s.FORCED and state == r.FLAPS
-            if state in r.AWAY or state == r.FLAPS and not forced or orders.get(name) == s.HELD_DOWN:
+            forced = orders.get(name) == ReturnOrder.LET_IN and state == r.FLAPS
+            if state in r.AWAY or state == r.FLAPS and not forced or orders.get(name) == ReturnOrder.HELD_OUT:
                 assert levels[name] == 0
             elif not told and not orders:
                 assert before[name] - 1 <= levels[name] <= before[name] + 1
         if any(levels.values()):
-            assert all(stand.weights[name] == s.STEPS[level] for name, level in levels.items())
-        asked = stand.rates()
-        shares = [stand.shares.get(op, 0.0) for op in FIRST if asked.get(op)]
+            assert all(shedding.weights[name] == WEIGHTS[level] for name, level in levels.items())
+        asked = shedding.request_rates()
+        shares = [shedding.shares.get(op, 0.0) for op in FIRST if asked.get(op)]
         assert all(0 <= share <= 1 for share in shares) and all(
             a > 1 - 1e-9 or b == 0 for a, b in zip(shares, shares[1:])
         )
     # Faults end, orders too: all is as before, and nothing is refused any more.
-    stand.ordered(runs.now, dict.fromkeys("abc", s.NO_WORD))
+    shedding.on_orders(runs.now, dict.fromkeys("abc", ReturnOrder.NO_ORDER))
     runs.asked, runs.late = (13, 8, 5), 0
     runs.look(dict.fromkeys("abc", r.HERE), times=80)
-    assert set(stand.weights.values()) == {1.0} and not stand.shares
+    assert set(shedding.weights.values()) == {1.0} and not shedding.shares
 
 
 def test_a_loss_is_met_at_once_by_the_plan_scaled_by_what_is_asked():
     full, quiet = Runs(made(0.8)), Runs(made(0.8), asked=(4, 2, 2))
     for runs in (full, quiet):
         runs.look(times=8)
-        assert not runs.stand.shares
+        assert not runs.shedding.shares
         runs.look(dict(a=r.LOST))
-        assert runs.stand.weights == dict(a=0.0, b=1.0, c=1.0)
+        assert runs.shedding.weights == dict(a=0.0, b=1.0, c=1.0)
     # 0.85 of two thirds for 0.8: 0.29 of the work, from reads, which are half of it. At a quiet hour there is room for all.
-    assert full.stand.shares[0] == pytest.approx(0.58, abs=0.05) and not full.stand.refuses(1, 0.0)
-    assert not quiet.stand.shares
+    assert full.shedding.shares[0] == pytest.approx(0.58, abs=0.05) and not full.shedding.refuses(1, 0.0)
+    assert not quiet.shedding.shares
     # One that is asked for ten times its part is not the fleet.
     busy = Runs(made(0.8, scale=0.1))
     busy.look(times=8)
-    assert busy.look(dict(a=r.LOST)).need == pytest.approx(1 - 0.85 * 16 / (s.MOST_OFF * 19.2), abs=0.01)
+    assert busy.look(dict(a=r.LOST)).need == pytest.approx(1 - 0.85 * 16 / (s.MOST_SCALE * 19.2), abs=0.01)
 
 
 def test_who_has_just_begun_refuses_by_the_plan_until_it_knows_what_is_asked():
@@ -139,36 +147,40 @@
     runs = Runs(made(0.8), asked=(1, 0, 0))
     runs.look()
     planned = 1 - 0.85 * 16 / 19.2
-    assert runs.look(dict(a=r.LOST)).need == pytest.approx(planned, abs=0.01) and runs.stand.shares[0] > 0.2
+    assert (
+        runs.look(dict(a=r.LOST)).need == pytest.approx(planned, abs=0.01) and runs.shedding.shares[0] > 0.2
+    )
     runs.asked = (13, 8, 5)
     for _ in range(3):
         runs.look(dict(a=r.LOST))
-        assert runs.stand.need == pytest.approx(planned, abs=0.01) and runs.stand.shares[0] > 0.2
+        assert runs.shedding.need == pytest.approx(planned, abs=0.01) and runs.shedding.shares[0] > 0.2
     # Where few come back in the end, it goes by those: at a quiet hour there is room for all.
     quiet = Runs(made(0.8), asked=(4, 2, 2))
     quiet.look(dict(a=r.LOST), times=12)
-    assert quiet.stand.need == 0.0
+    assert quiet.shedding.need == 0.0
 
 
 def test_late_answers_have_more_refused_one_step_an_answer_and_the_lack_of_them_less():
     runs = Runs(made(0.8))
     runs.look(times=8)
     runs.look(dict(a=r.LOST))
-    runs.late, seen = 6, [runs.stand.correction]
+    runs.late, seen = 6, [runs.shedding.correction]
     while len(seen) < 9 and seen[-1] <= seen[0]:
         seen.append(runs.look(dict(a=r.LOST)).correction)
     before = seen[-2]
-    assert runs.stand.correction == pytest.approx(before + s.MORE)
+    assert runs.shedding.correction == pytest.approx(before + s.INCREASE)
     # What was sent before that step says nothing of whether it is enough.
     for _ in range(50):
-        runs.stand.ended("b", runs.stand.grown - 1.0, True, 2.0)
+        runs.shedding.on_outcome("b", runs.shedding.judged_from - 1.0, True, 2.0)
     runs.late = 0
     runs.look(dict(a=r.LOST))
-    assert runs.stand.correction == pytest.approx(before + s.MORE - s.LESS * s.QUICKER)  # the others are idle
+    assert runs.shedding.correction == pytest.approx(
+        before + s.INCREASE - s.DECREASE * s.IDLE_FACTOR
+    )  # the others are idle
     runs.look(dict(a=r.LOST), times=200)
-    assert runs.stand.need + runs.stand.correction == pytest.approx(
+    assert runs.shedding.need + runs.shedding.correction == pytest.approx(
         0.0, abs=0.01
-    ) and not runs.stand.shares.get(1)
+    ) and not runs.shedding.shares.get(1)
 
 
 def test_a_return_goes_by_steps_quicker_with_who_leads_it_and_on_without():
@@ -179,74 +191,82 @@
         runs.look(lost, leading=leading)
         seen = []
         took[leading] = runs.until(
-            lambda: seen.append(runs.stand.weights["a"]) or seen[-1] == 1.0, states=here, leading=leading
+            lambda: seen.append(runs.shedding.weights["a"]) or seen[-1] == 1.0, states=here, leading=leading
         )
-        assert sorted(set(seen)) == list(s.STEPS) and seen == sorted(seen)
+        assert sorted(set(seen)) == list(WEIGHTS) and seen == sorted(seen)
     assert took[True] < took[False]
     # Told by its holder: by steps as far as that is, and no further; its last word ages, and the rest is its own ramp.
     runs = Runs(made())
     runs.look(lost)
     seen = []
-    while len(seen) < 3 * s.HEEDED / LOOK:
-        runs.stand.ordered(runs.now, dict(a=3))
+    while len(seen) < 3 * ORDER_LIFETIME / LOOK:
+        runs.shedding.on_orders(runs.now, dict(a=3))
         seen.append(runs.look(here).weights["a"])
-    assert sorted(set(seen)) == list(s.STEPS[:4]) and seen == sorted(seen)
-    assert seen[int((s.HELD_SETTLE + 2 * s.HELD_EACH) / LOOK) + 1] == s.STEPS[3]
-    runs.look(here, times=int(s.HEEDED / LOOK) - 2)
-    assert runs.stand.weights["a"] == s.STEPS[3]
-    runs.until(lambda: runs.stand.weights["a"] == 1.0, states=here)
+    assert sorted(set(seen)) == list(WEIGHTS[:4]) and seen == sorted(seen)
+    assert seen[int((LED_SETTLE_TIME + 2 * LED_STAGE_TIME) / LOOK) + 1] == WEIGHTS[3]
+    runs.look(here, times=int(ORDER_LIFETIME / LOOK) - 2)
+    assert runs.shedding.weights["a"] == WEIGHTS[3]
+    runs.until(lambda: runs.shedding.weights["a"] == 1.0, states=here)
     # A step back of its holder is one at once.
     runs = Runs(made())
     runs.look(lost)
-    runs.until(lambda: runs.stand.zones["a"].level == 3, states=here)
-    runs.stand.ordered(runs.now, dict(a=1))
-    assert runs.look(here).weights["a"] == s.STEPS[1]
+    runs.until(lambda: runs.shedding.ramps["a"].stage == 3, states=here)
+    runs.shedding.on_orders(runs.now, dict(a=1))
+    assert runs.look(here).weights["a"] == WEIGHTS[1]
     # It does not stand it: a step back, and its time begins anew.
     runs = Runs(made())
     runs.look(lost)
-    runs.until(lambda: runs.stand.zones["a"].level == 2, states=here)
+    runs.until(lambda: runs.shedding.ramps["a"].stage == 2, states=here)
     runs.late = 6
-    runs.until(lambda: runs.stand.zones["a"].level == 1, states=here)
+    runs.until(lambda: runs.shedding.ramps["a"].stage == 1, states=here)
     runs.late = 0
-    assert runs.until(lambda: runs.stand.zones["a"].level == 2, states=here) >= s.SETTLE
+    assert runs.until(lambda: runs.shedding.ramps["a"].stage == 2, states=here) >= SETTLE_TIME
     # One that went again begins again.
     assert runs.look(lost).weights["a"] == 0.0 and runs.look(here).weights["a"] == 0.0
 
 
 def test_what_operators_say_outlasts_the_holder_and_a_return_by_order_ends_with_the_next_loss():
     runs, flaps = Runs(made()), dict(a=r.FLAPS)
-    runs.stand.ordered(runs.now, dict(a=s.HELD_DOWN))
+    runs.shedding.on_orders(runs.now, dict(a=ReturnOrder.HELD_OUT))
     runs.look(dict(a=r.HERE), times=100)
-    assert runs.stand.weights["a"] == 0.0 and runs.stand.orders(dict(a=r.HERE))["a"] == s.HELD_DOWN
-    runs.stand.ordered(runs.now, dict(a=s.FORCED))
+    assert (
+        runs.shedding.weights["a"] == 0.0
+        and runs.shedding.orders_to_give(dict(a=r.HERE))["a"] == ReturnOrder.HELD_OUT
+    )
+    runs.shedding.on_orders(runs.now, dict(a=ReturnOrder.LET_IN))
     assert runs.look(flaps).weights["a"] == 1.0
     runs.look(dict(a=r.LOST))
-    assert runs.look(flaps).weights["a"] == 0.0 and runs.stand.orders(flaps)["a"] == s.NO_WORD
-    assert runs.stand.orders(dict(a=r.HERE, b=r.LOST)) == dict(a=0, b=s.NO_WORD, c=s.NO_WORD)
+    assert (
+        runs.look(flaps).weights["a"] == 0.0
+        and runs.shedding.orders_to_give(flaps)["a"] == ReturnOrder.NO_ORDER
+    )
+    assert runs.shedding.orders_to_give(dict(a=r.HERE, b=r.LOST)) == dict(
+        a=0, b=ReturnOrder.NO_ORDER, c=ReturnOrder.NO_ORDER
+    )
 
 
 def test_a_rollout_that_fills_all_zones_is_no_loss_and_half_a_site_is():
     runs = Runs(made(0.95))
     runs.look(times=8)
     runs.look(hefts=dict(a=8.0, b=8.0, c=8.0), times=40)
-    assert runs.look(times=4).parts == dict.fromkeys("abc", 1.0) and not runs.stand.shares
+    assert runs.look(times=4).usable == dict.fromkeys("abc", 1.0) and not runs.shedding.shares
     runs.look(hefts=dict(a=2.0, b=4.0, c=4.0), times=1)
     assert (
-        runs.stand.parts["a"] == pytest.approx(0.5, abs=0.01)
-        and 0 in runs.stand.shares
-        and runs.stand.weights["a"] == 1.0
+        runs.shedding.usable["a"] == pytest.approx(0.5, abs=0.01)
+        and 0 in runs.shedding.shares
+        and runs.shedding.weights["a"] == 1.0
     )
     runs.look(times=60)
-    assert not runs.stand.shares
-    alone = s.Stand(Sites({"a": 8.0}, {"a": {"read": 10.0}}, OPS, None), NAMES, 1.0, LOOK, 0.0)
-    alone.look(LOOK, dict(a=r.LOST), dict(a=0.0))
+    assert not runs.shedding.shares
+    alone = s.Shedding(Sites({"a": 8.0}, {"a": {"read": 10.0}}, OPS, None), NAMES, 1.0, LOOK, 0.0)
+    alone.tick(LOOK, dict(a=r.LOST), dict(a=0.0))
     assert alone.weights == dict(a=1.0)
 
 
 def test_silence_of_a_lost_zone_is_no_word_on_builds_and_no_stage_moves_over_it():
-    stand = Runs(made()).look(dict(a=r.LOST))
+    shedding = Runs(made()).look(dict(a=r.LOST))
     told = {
-        status: (stand.told("a", status), stand.told("b", status))
+        status: (shedding.status_for_decisions("a", status), shedding.status_for_decisions("b", status))
         for status in (TIMEOUT, RESET, UNCONNECTED, ERROR, TURNED, SUCCEEDED)
     }
     # Whether it may have run is left as it was: called off may have, moot has not.
@@ -259,12 +279,12 @@
         SUCCEEDED: (SUCCEEDED, SUCCEEDED),
     }
     assert (
-        stand.holds(ON, "ab")
-        and not stand.holds(BACK, "ab")
-        and stand.holds(BACK, "a")
-        and not stand.holds(ON, "bc")
+        shedding.withholds_vote(ON, "ab")
+        and not shedding.withholds_vote(BACK, "ab")
+        and shedding.withholds_vote(BACK, "a")
+        and not shedding.withholds_vote(ON, "bc")
     )
-    assert not stand.holds(ON, "") and not stand.holds(BACK, "")
+    assert not shedding.withholds_vote(ON, "") and not shedding.withholds_vote(BACK, "")
 
 
 @given(st.integers(0, 2**30), st.lists(st.integers(0, 7), max_size=SITES))
--- a/tests/test_site_return.py
+++ b/tests/test_site_return.py
@@ -15,11 +15,18 @@
 
 from gannetfront import records
 from gannetfront.interface import READY, SUCCEEDED, TIMEOUT
-from gannetfront.sites import recognition as r, stand as s
-from gannetfront.sites.sight import Sight
+from gannetfront.sites import failure_detector as r
+from gannetfront.sites.ramp import (
+    LED_SETTLE_TIME,
+    LED_STAGE_TIME,
+    WEIGHTS,
+    RampStage,
+    ReturnOrder,
+)
+from gannetfront.sites.monitor import Monitor
 from test_audit import play
 from test_sites import LOST_DAY, told_by
-from test_stand import LOOK, Runs, made
+from test_shedding import LOOK, Runs, made
 
 LOST, HERE = dict(a=r.LOST), dict(a=r.HERE)
 CALM = dict(alone=None, unheard=None)
@@ -29,7 +36,7 @@
     """A monitor of three zones with two ready nodes each; `look` lets its clock go on by one look."""
 
     def __init__(self):
-        self.sight, self.now = Sight(list("abc"), "c", 0.5, 500.0, made()), 0.0
+        self.monitor, self.now = Monitor(list("abc"), "c", 0.5, 500.0, made()), 0.0
         self.entries = [
             (f"{zone}{n}", place, 1, 0, n, READY, 1.0, 0.0)
             for place, zone in enumerate("abc")
@@ -38,51 +45,51 @@
 
     def outcomes(self, zone, status):
         for entry in self.entries:
-            if self.sight.zone_of(entry) == zone:
+            if self.monitor.zone_of(entry) == zone:
                 for _ in range(2):
-                    self.sight.saw(self.now, entry, status, 50.0, 900.0)
+                    self.monitor.on_outcome(self.now, entry, status, 50.0, 900.0)
 
     def look(self, leading=False):
         self.now += LOOK
-        self.sight.look(self.now, self.entries, {}, CALM, leading)
-        return self.sight.orders()
+        self.monitor.tick(self.now, self.entries, {}, CALM, leading)
+        return self.monitor.orders_to_give()
 
 
 def test_who_has_just_begun_orders_nothing_of_a_site_of_which_it_has_heard_nothing():
     proxy = Proxy()
-    assert proxy.look(leading=True) == dict.fromkeys("abc", s.NO_WORD)
+    assert proxy.look(leading=True) == dict.fromkeys("abc", ReturnOrder.NO_ORDER)
     proxy.outcomes("b", SUCCEEDED)
     proxy.outcomes("a", TIMEOUT)
-    assert proxy.look(leading=True) == dict(a=s.NO_WORD, b=s.FULL, c=s.NO_WORD)
+    assert proxy.look(leading=True) == dict(a=ReturnOrder.NO_ORDER, b=RampStage.FULL, c=ReturnOrder.NO_ORDER)
     # It serves meanwhile: nothing known is no reason to send nothing.
-    assert proxy.sight.stand.weights == dict(a=0.0, b=1.0, c=1.0)
+    assert proxy.monitor.shedding.weights == dict(a=0.0, b=1.0, c=1.0)
 
 
 def test_who_is_cut_off_from_its_start_orders_nothing():
     proxy = Proxy()
     proxy.now += LOOK
-    proxy.sight.look(proxy.now, proxy.entries, {}, dict(alone=3000.0, unheard=None), True)
-    assert proxy.sight.orders() == dict.fromkeys("abc", s.NO_WORD)
+    proxy.monitor.tick(proxy.now, proxy.entries, {}, dict(alone=3000.0, unheard=None), True)
+    assert proxy.monitor.orders_to_give() == dict.fromkeys("abc", ReturnOrder.NO_ORDER)
 
 
 @pytest.mark.parametrize("away_for", [1, 12, 40])
 def test_an_order_that_is_ahead_skips_no_step_of_a_follower(away_for):
     runs = Runs(made())
     for _ in range(away_for):  # its leader sees the site whole already
-        runs.stand.ordered(runs.now, dict(a=s.FULL))
+        runs.shedding.on_orders(runs.now, dict(a=RampStage.FULL))
         runs.look(LOST)
     begun, seen = runs.now, []
     while not seen or seen[-1][1] < 1.0:
-        runs.stand.ordered(runs.now, dict(a=s.FULL))
+        runs.shedding.on_orders(runs.now, dict(a=RampStage.FULL))
         seen.append((runs.now - begun, runs.look(HERE).weights["a"]))
         assert len(seen) < 100
     steps = [seen[0]] + [b for a, b in zip(seen, seen[1:]) if a[1] != b[1]]
-    assert [weight for _, weight in steps] == list(s.STEPS), seen
+    assert [weight for _, weight in steps] == list(WEIGHTS), seen
     # At the pace of who leads, not sooner and hardly later.
-    assert steps[1][0] >= s.HELD_SETTLE - LOOK and all(
-        b[0] - a[0] >= s.HELD_EACH for a, b in zip(steps[1:], steps[2:])
+    assert steps[1][0] >= LED_SETTLE_TIME - LOOK and all(
+        b[0] - a[0] >= LED_STAGE_TIME for a, b in zip(steps[1:], steps[2:])
     )
-    assert steps[-1][0] <= s.HELD_SETTLE + 3 * s.HELD_EACH + 2 * LOOK
+    assert steps[-1][0] <= LED_SETTLE_TIME + 3 * LED_STAGE_TIME + 2 * LOOK
 
 
 def test_a_site_whose_nodes_are_others_is_let_in_by_steps_too():
@@ -94,35 +101,38 @@
         proxy.outcomes("a", TIMEOUT)
         proxy.outcomes("b", SUCCEEDED)
         proxy.look()
-    assert proxy.sight.stand.weights == dict(a=0.0, b=1.0, c=1.0)
+    assert proxy.monitor.shedding.weights == dict(a=0.0, b=1.0, c=1.0)
     proxy.entries = [("new" + e[0], *e[1:]) if e[1] == 0 else e for e in proxy.entries]
     seen = [proxy.look(leading=True)["a"]]
-    assert seen == [s.NO_WORD], "nothing is known of the new ones yet"
-    seen = [proxy.sight.stand.weights["a"]]
+    assert seen == [ReturnOrder.NO_ORDER], "nothing is known of the new ones yet"
+    seen = [proxy.monitor.shedding.weights["a"]]
     while seen[-1] < 1.0:
         for zone in "abc":
             proxy.outcomes(zone, SUCCEEDED)
         proxy.look(leading=True)
-        seen.append(proxy.sight.stand.weights["a"])
+        seen.append(proxy.monitor.shedding.weights["a"])
         assert len(seen) < 100
-    assert sorted(set(seen)) == list(s.STEPS) and seen == sorted(seen), seen
+    assert sorted(set(seen)) == list(WEIGHTS) and seen == sorted(seen), seen
 
 
 def test_who_begins_while_a_site_is_let_in_joins_at_the_step_that_is_ordered():
     proxy = Proxy()
-    proxy.sight.stand.ordered(proxy.now, dict(a=1))
+    proxy.monitor.shedding.on_orders(proxy.now, dict(a=1))
     proxy.outcomes("a", SUCCEEDED)
     proxy.look()
-    assert proxy.sight.stand.weights == dict(a=s.STEPS[1], b=1.0, c=1.0)
+    assert proxy.monitor.shedding.weights == dict(a=WEIGHTS[1], b=1.0, c=1.0)
     # One that has been there for long, and has not seen the site go, goes by what it sees.
     old = Runs(made())
     old.look(HERE, times=40)
-    old.stand.ordered(old.now, dict(a=1))
+    old.shedding.on_orders(old.now, dict(a=1))
     assert old.look(HERE).weights["a"] == 1.0
 
 
 ORDERS = st.none() | st.fixed_dictionaries(
-    {zone: st.sampled_from([*range(len(s.STEPS)), s.NO_WORD, s.HELD_DOWN]) for zone in "abc"}
+    {
+        zone: st.sampled_from([*range(len(WEIGHTS)), ReturnOrder.NO_ORDER, ReturnOrder.HELD_OUT])
+        for zone in "abc"
+    }
 )
 STATES = st.fixed_dictionaries(
     {zone: st.sampled_from([r.UNKNOWN, r.HERE, r.SLOW, r.HALF, r.NODES, r.LOST, r.FLAPS]) for zone in "abc"}
@@ -136,13 +146,13 @@
     rose = dict.fromkeys("abc", -1e18)
     for states, orders, leading in looks:
         if orders:
-            runs.stand.ordered(runs.now, orders)
-        before = {name: zone.level for name, zone in runs.stand.zones.items()}
+            runs.shedding.on_orders(runs.now, orders)
+        before = {name: zone.stage for name, zone in runs.shedding.ramps.items()}
         runs.look(states, leading=leading)
-        for name, zone in runs.stand.zones.items():
-            assert zone.level <= before[name] + 1
-            if zone.level > before[name]:
-                assert zone.level == 1 or runs.now - rose[name] >= s.HELD_EACH
+        for name, zone in runs.shedding.ramps.items():
+            assert zone.stage <= before[name] + 1
+            if zone.stage > before[name]:
+                assert zone.stage == 1 or runs.now - rose[name] >= LED_STAGE_TIME
                 rose[name] = runs.now
 
 
@@ -169,4 +179,4 @@
         weights = [e["weights"]["b"] for e in told_by(tmp_path, n, "site weights")]
         assert weights[0] == 0.0 and weights[-1] == 1.0, (n, weights)
         rises = [(a, b) for a, b in zip(weights, weights[1:]) if b > a]
-        assert all((a, b) in zip(s.STEPS, s.STEPS[1:]) for a, b in rises), (n, weights)
+        assert all((a, b) in zip(WEIGHTS, WEIGHTS[1:]) for a, b in rises), (n, weights)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -10,7 +10,7 @@
 from gannetfront.cli.sites import main
 from gannetfront.config import load, schema_pb2 as schema
 from gannetfront.interface import FINGERPRINTED, SIDE_EFFECTING
-from gannetfront.sites import recognition as r
+from gannetfront.sites import failure_detector as r
 from gannetfront.sites.plan import Class, Sites
 from test_audit import play
 
@@ -144,10 +144,10 @@
 
 def known_zones():
     """Two zones of which something was heard once, and nothing lately."""
-    zones = r.Zones(["home", "far"], "home")
+    zones = r.FailureDetector(["home", "far"], "home")
     for zone in ("home", "far"):
-        zones.outcome(-500.0, zone, "n0", True, 50.0)
-    assert [(z, state) for z, state, _ in zones.look(0.0, {}, CALM, {})] == [
+        zones.on_outcome(-500.0, zone, "n0", True, 50.0)
+    assert [(z, state) for z, state, _ in zones.tick(0.0, {}, CALM, {})] == [
         ("home", r.HERE),
         ("far", r.HERE),
     ]
@@ -157,8 +157,8 @@
 def look(zones, now, nodes, heard, more, listed, took=50.0):
     for n, (answered, silent) in enumerate(nodes):
         for fine in [True] * answered + [False] * silent:
-            zones.outcome(now, "far", f"n{n}", fine, took)
-    return zones.look(now, {"far": heard, "home": THERE}, CALM | more, {"far": listed})
+            zones.on_outcome(now, "far", f"n{n}", fine, took)
+    return zones.tick(now, {"far": heard, "home": THERE}, CALM | more, {"far": listed})
 
 
 @pytest.mark.parametrize("name", SEEN)
@@ -175,7 +175,7 @@
 @pytest.mark.parametrize("name", SEEN)
 def test_a_zone_of_which_nothing_was_heard_is_away_or_not_known_yet_but_never_whole(name):
     nodes, *facts, state = SEEN[name]
-    zones = r.Zones(["home", "far"], "home")
+    zones = r.FailureDetector(["home", "far"], "home")
     look(zones, 1000.0, nodes, *facts)
     answered = any(n for n, _ in nodes)
     assert zones.zones["home"].state == r.UNKNOWN == zones.for_dispatches()["home"]
@@ -372,12 +372,12 @@
     [
         ("", None),
         (
-            "from gannetfront.sites.stand import Stand as S\nold = S.refuses\n"
+            "from gannetfront.sites.shedding import Shedding as S\nold = S.refuses\n"
             "S.refuses = lambda self, op, draw: draw < self.shares.get({0: 1, 1: 0}.get(op, op), 0.0)",
             "follows the order",
         ),
         (
-            "from gannetfront.proxy.sites import AtProxy as A\nA.__init__ = lambda self, *x, old=A.__init__: (old(self, *x), setattr(self, 'seen', tuple))[0]",
+            "from gannetfront.proxy.sites import AtProxy as A\nA.__init__ = lambda self, *x, old=A.__init__: (old(self, *x), setattr(self, 'entries_for_decisions', tuple))[0]",
             "nothing new to a site that is lost",
         ),
     ],
--- a/tests/test_sites_lab.py
+++ b/tests/test_sites_lab.py
@@ -7,7 +7,7 @@
 from gannetfront import script
 from gannetfront.audit import sites as audit
 from gannetfront.lab.sites import world_of
-from gannetfront.sites.recognition import AWAY
+from gannetfront.sites.failure_detector import AWAY
 
 TEXT = """
 day 34
@@ -155,7 +155,7 @@
             if getattr(t, "share", 1) == 1
         ],
     )
-    assert not judged["order"][1] and not any(shell.stand.shares for shell in world.proxies), judged
+    assert not judged["order"][1] and not any(shell.shedding.shares for shell in world.proxies), judged
     phase = world.stages.phase if day.offers else None
     assert phase in ((None,) if not day.offers else (2,) if "good" in name else (3,)), phase
 
@@ -167,7 +167,7 @@
     def look(life):
         inner(life)
         if life == shell.lives and shell.up:
-            seen[shell.world.time] = tuple(shell.stand.weights.values())
+            seen[shell.world.time] = tuple(shell.shedding.weights.values())
 
     shell.look = look
 
@@ -209,5 +209,5 @@
         watch(shell, seen)
     world.run()
     for shell in world.proxies:
-        said |= {zone.state for zone in shell.sight.zones.zones.values()}
+        said |= {zone.state for zone in shell.monitor.detector.zones.values()}
     assert all(min(w) == 1.0 for w in seen.values()) and not said & set(AWAY)
