A wait on a stream that was closed in the turn in which its limit ended raises OSError

Symptom: greenlets died of ValueError 'file descriptor cannot be a negative integer (-1)', with a traceback; three in one run of test_duties. Cause: what ended as late is asked once more whether something came, also on a socket that another greenlet had closed in the same turn. Change: host.Port.until looks at 'open' first; one place for every program. Whoever waits expects OSError and Timeout and cleans up behind these. tests/test_host.py causes it by a loop that is held up: failed before, 3 passed after.

--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -270,7 +270,8 @@
                 watcher.stop()
             if once is not None:
                 once.waits.remove(wait)
-        if why == "closed":
+        # Closed in the same turn in which its limit ended it is late and closed, and has no descriptor to ask.
+        if why == "closed" or not self.open:
             raise OSError(errno.EBADF, "closed here")
         # After a loop was held up its timers come before what the same turn would bring: a node's answer or a connection that
         # was there in time would be called late, and bytes that came at the limit would never be read.
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -31,3 +31,34 @@
 
     host.join([host.spawn(worker.call, call, n) for n in range(6)], 5000)
     assert most == [1] * 6 and order == list(range(6))
+
+
+def test_a_wait_whose_time_ends_as_its_stream_is_closed_ends_with_an_error_of_the_stream():
+    """A greenlet died of `ValueError: file descriptor cannot be a negative integer (-1)`, with a traceback in the log.
+
+    Its limit and the close by another greenlet came in the same turn of a loop that had been held up: the wait ended as late, and was asked
+    once more whether something had come, of a socket that had none. Those who wait expect OSError or Timeout and clean up behind these.
+    Seen three times in one run of tests/test_duties.py beside others, in the relay; every program waits by the same lines
+    (docs/incidents/late-on-a-closed-stream.md).
+    """
+    listener = host.Listener("127.0.0.1:0")
+    host.spawn(host.serve, listener, lambda stream: stream.recv(1, 3000), Log())
+    stream, ended = host.connect(listener.where, 1000), []
+
+    def close_it():
+        host.sleep(30)
+        stream.close()
+
+    def read():
+        try:
+            stream.recv(1, 40)
+        except Exception as error:
+            ended.append(type(error))
+
+    host.spawn(close_it)
+    host.spawn(read)
+    host.sleep(5)
+    time.sleep(0.1)  # both are due in one turn of the loop
+    host.sleep(20)
+    listener.close()
+    assert ended == [OSError]
