--- a/gannetfront/day/net.py
+++ b/gannetfront/day/net.py
@@ -15,13 +15,18 @@
     return HOLDER in trouble.src or HOLDER in trouble.dst
 
 
+def home(pid, number):
+    """Where a proxy of the day that process `pid` plays has its members' port. Days that are played side by side must not meet: one octet
+    of the process's number alone was not enough (docs/incidents/days-share-an-address.md)."""
+    return f"127.{2 + pid % 250}.{(pid // 250 + number // 250) % 250}.{1 + number % 250}:{PORT}"
+
+
 class Net:
     def __init__(self, day, controllers):
         """`controllers` are the addresses of release.a and, where there is one, release.b."""
         self.controllers, self.through, self.day, self.played = controllers, {}, day.day, day
-        # Days that are played side by side must not meet: their addresses differ by the process that plays them.
-        base, many = 2 + os.getpid() % 250, day.day.proxies if day.day.members_by else 0
-        self.homes = {f"proxy{n}": f"127.{base}.{n // 250}.{1 + n % 250}:{PORT}" for n in range(many)}
+        many = day.day.proxies if day.day.members_by else 0
+        self.homes = {f"proxy{n}": home(os.getpid(), n) for n in range(many)}
         self.mates = {(s, t): at for s in self.homes for t, at in self.homes.items()}
         self.streams = (
             {(s, t): at.rpartition(":")[0] + f":{PORT + 1}" for (s, t), at in self.mates.items()}
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gannetfront import host, records, script
+from gannetfront.day.net import home
 from gannetfront.day.struck import gained
 from gannetfront.faults.relay import Relay
 from gannetfront.faults.schedule import BEHIND, RETRY, Schedule
@@ -159,6 +160,16 @@
             script.Day(f"proxies 3\nzones x y\noperation a effect=idempotent share=1\nat 1 for 2 {line}", "s")
 
 
+def test_days_that_are_played_side_by_side_have_no_address_in_common():
+    """A day of a test did not start: `proxy0.textproto: cannot start: [Errno 98] Address already in use`.
+
+    Two suites ran at once, and the processes that played a day in each had numbers that are equal modulo 250, of which alone the addresses
+    were made. docs/incidents/days-share-an-address.md
+    """
+    assert len({home(pid, 0) for pid in range(1, 62501)}) == 62500
+    assert not {home(1000, n) for n in range(60)} & {home(1250, n) for n in range(60)}
+
+
 LINKS = (
     HOOKS.replace("at 3 for 4 controller_kill\n", "").replace("proxies 2", "proxies 3")
     + """
