--- a/gannetfront/audit/ramp.py
+++ b/gannetfront/audit/ramp.py
@@ -18,6 +18,11 @@
 DISTURBANCES = "proxy killed", "proxy started", "stalled", "continued"
 
 
+def strikes(events):
+    """[(since, until, site)] of the sites that the day's script took away."""
+    return [(e["at"], float(e["detail"]), e["who"]) for e in events if e["what"] == "site struck"]
+
+
 def allowed(sent, odds):
     """Dispatches to the site, of `sent` in all; `odds` is its usual share against that of the others that are there."""
     mean = sum(sent * span / WATCHED * part * odds / (1 + part * odds) for span, part in RAMP)
@@ -29,7 +34,7 @@
 
     def __init__(self, zones, tries, dispatches, events):
         self.zones, self.events = zones, events
-        self.struck = [(e["at"], float(e["detail"]), e["who"]) for e in events if e["what"] == "site struck"]
+        self.struck = strikes(events)
         self.began = {t["request"]: t["sent"] for t in tries}
         self.by_proxy = {}
         for dispatch in dispatches:
@@ -64,10 +69,7 @@
         return checked, stories
 
     def judgeable(self, since, until, site):
-        again = any(
-            other == site and until < begin + WATCHED and begin < until + WATCHED and begin != since
-            for begin, _, other in self.struck
-        )
+        again = any(other == site and abs(begin - until) < WATCHED for begin, _, other in self.struck)
         return until - since >= LEAST_LOSS and not again
 
     def disturbed(self, proxy, until):
--- a/gannetfront/audit/sites.py
+++ b/gannetfront/audit/sites.py
@@ -6,7 +6,7 @@
 
 from collections import defaultdict
 
-from .ramp import Returns
+from .ramp import DISTURBANCES, Returns, strikes
 
 SPAN, LEAST = 2000.0, 25  # ms; tries of an operation in it, below which its share says nothing
 NOTICED, SETTLED = (
@@ -45,10 +45,8 @@
     """{rule: (checked, [story])}, or None where no plan is acted upon. `zone_of` {proxy number: zone's name}."""
     if not fleet.site_acts:
         return None
-    struck = [(e["at"], float(e["detail"]), e["who"]) for e in events if e["what"] == "site struck"]
-    other = [
-        e["at"] for e in events if e["what"] in ("proxy killed", "proxy started", "stalled", "continued")
-    ]
+    struck = strikes(events)
+    other = [e["at"] for e in events if e["what"] in DISTURBANCES]
     found, order = {rule: [0, []] for rule in RULES}, order_of(fleet)
     begin = min((t["sent"] for t in tries), default=0.0)
     seen = defaultdict(lambda: defaultdict(lambda: [0, 0]))
