A served dispatch becomes a row in one place, for the emulator on sockets and in virtual time

Read once more: kitchen/serve.py and lab/world.py listed the sixteen columns each for itself. served_row in kitchen/fleet.py serves both; the rows are as they were.

--- a/gannetfront/kitchen/fleet.py
+++ b/gannetfront/kitchen/fleet.py
@@ -23,6 +23,28 @@
         self.state, self.jobs, self.stuck, self.report = "down", {}, False, None
 
 
+def served_row(place, job, ended, outcome, effect):
+    """A dispatch that a server is through with, as records.TABLES has the columns of dispatches; `ended` in ms."""
+    return (
+        job.request,
+        job.proxy,
+        job.seq,
+        job.op,
+        job.mark,
+        place.at,
+        place.incarnation,
+        place.build,
+        place.zone,
+        place.cell,
+        job.came,
+        job.began,
+        ended,
+        outcome,
+        effect,
+        job.work,
+    )
+
+
 class Fleet:
     def __init__(self, day, start):
         """`start` is the clock reading at which the script's day begins."""
--- a/gannetfront/kitchen/serve.py
+++ b/gannetfront/kitchen/serve.py
@@ -10,7 +10,7 @@
 from ..proxy.links import Epochs, StreamLink
 from ..wire import control_pb2 as c, frames, http
 from ..wire.asking import asked
-from .fleet import Fleet, Place
+from .fleet import Fleet, Place, served_row
 from .model import REFUSED, TAKEN, TOPPLED, Job
 
 
@@ -295,24 +295,7 @@
         self.schedule(place, node, begun)
 
     def row(self, place, job, outcome, effect):
-        self.served.add(
-            job.request,
-            job.proxy,
-            job.seq,
-            job.op,
-            job.mark,
-            place.at,
-            place.incarnation,
-            place.build,
-            place.zone,
-            place.cell,
-            job.came,
-            job.began,
-            host.now(),
-            outcome,
-            effect,
-            job.work,
-        )
+        self.served.add(*served_row(place, job, host.now(), outcome, effect))
 
     def view(self):
         """Each place as it stands, for whoever asks."""
--- a/gannetfront/lab/world.py
+++ b/gannetfront/lab/world.py
@@ -12,7 +12,7 @@
 from ..balance import Balancer
 from ..config import load, schema_pb2 as schema
 from ..interface import CANCELLED, DRAINING, ERROR, FULL, GONE, READY, RESET, SUCCEEDED, TIMEOUT, UNCONNECTED
-from ..kitchen.fleet import Fleet, Place
+from ..kitchen.fleet import Fleet, Place, served_row
 from ..kitchen.model import REFUSED, TOPPLED, Job
 from ..load.arrivals import draw
 from ..load.retry import LINGER, Intent
@@ -455,26 +455,7 @@
                 self.later(one.ends - self.time, self.finish, place, place.node, one)
 
     def row(self, place, job, outcome, effect):
-        self.served.append(
-            (
-                job.request,
-                job.proxy,
-                job.seq,
-                job.op,
-                job.mark,
-                place.at,
-                place.incarnation,
-                place.build,
-                place.zone,
-                place.cell,
-                job.came,
-                job.began,
-                self.time,
-                outcome,
-                effect,
-                job.work,
-            )
-        )
+        self.served.append(served_row(place, job, self.time, outcome, effect))
         if (
             self.day.rollout["tally"]
             and outcome in ("ok", "error")
