Review: the loopback address of the cases stands in one place

Cause: 127.0.0.1 stood as text in five lines of the stand-ins. Change: one constant, LOOPBACK, which all of them use; the same addresses as before.

--- a/review/rig.py
+++ b/review/rig.py
@@ -21,6 +21,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+LOOPBACK = "127.0.0.1"  # every address of a case is on it
 
 
 def now():
@@ -186,7 +187,7 @@
 
     async def start(self):
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: ServerConnection(self), "127.0.0.1", 0)
+        self.listener = await loop.create_server(lambda: ServerConnection(self), LOOPBACK, 0)
         self.at = "%s:%d" % self.listener.sockets[0].getsockname()[:2]
 
     def query(self, connection, sql):
@@ -249,7 +250,7 @@
         self.changed = asyncio.Event()
 
     async def start(self):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.listener = await asyncio.start_server(self.serve, LOOPBACK, 0)
         self.at = "%s:%d" % self.listener.sockets[0].getsockname()[:2]
 
     async def serve(self, reader, writer):
@@ -301,7 +302,7 @@
         return {"build": build, "stage": stage, "phase": phase, "cap": cap, "age_ms": now() - self.since}
 
     async def start(self):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.listener = await asyncio.start_server(self.serve, LOOPBACK, 0)
         self.at = "%s:%d" % self.listener.sockets[0].getsockname()[:2]
 
     def notice(self):
@@ -467,8 +468,8 @@
     def __init__(self, folder, settings, discovery, api, sockets=1024, memory_mb=192):
         self.folder, self.log_path = folder, os.path.join(folder, "proxy.log")
         with contextlib.closing(socket.socket()) as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.at = "127.0.0.1:%d" % probe.getsockname()[1]
+            probe.bind((LOOPBACK, 0))
+            self.at = "%s:%d" % probe.getsockname()
         self.told = {
             "name": "n0",
             "listen": self.at,
