Tests on a process: memory, turns, closes and ids under clients that hold on

Reproduced on loopback with a process that is told 64 MB and 1,024 descriptors, four nodes, 480 hostile clients and a usual one.

--- /dev/null
+++ b/tests/test_pressure.py
@@ -0,0 +1,238 @@
+"""One proxy process under clients that hold on to its memory or its time."""
+
+import os
+import signal
+from collections import Counter
+from copy import deepcopy
+
+import pytest
+
+import hostile_clients as hostile
+from edge_process import EdgeProcess, UsualClient, slow_node
+from edge_rig import SETTINGS, Client, EdgeRig, PgNode, said, select
+from gannetfront import host
+from gannetfront.interface import SUCCEEDED
+from gannetfront.wire import pg
+from helpers import BalancerHarness
+
+MEMORY_MB, SOCKETS = 64, 1024
+CLIENTS = 480  # hostile ones at once
+SPAN = 3000.0  # ms of an attack
+SERVED_AT_LEAST = 0.5  # of what usual clients ask, as on any day of the platform
+AFTER_CLOSE = 100.0  # ms after a client's close in which an attempt for it may still begin
+NAMES = 40000
+BUSY = deepcopy(SETTINGS)
+BUSY["ceilings"]["mostHeld"] = 20000
+
+
+@pytest.fixture
+def process(tmp_path):
+    processes = []
+
+    def start(*nodes, **options):
+        processes.append(EdgeProcess(tmp_path, *nodes, **options))
+        return processes[-1]
+
+    yield start
+    for one in processes:
+        one.close()
+
+
+@pytest.fixture
+def rig(tmp_path):
+    rigs = []
+
+    def start(*nodes, **options):
+        rigs.append(EdgeRig(tmp_path, *nodes, **options))
+        return rigs[-1]
+
+    yield start
+    for one in rigs:
+        one.close()
+
+
+def attack(process, plays):
+    """Plays hostile clients beside a usual one; returns the usual one."""
+    usual = UsualClient(process.at)
+    host.sleep(200)
+    greenlets = [host.spawn(hostile.quietly, *play) for play in plays]
+    host.join(greenlets, 3 * SPAN)
+    usual.stop()
+    for greenlet in greenlets:
+        host.stop(greenlet)
+    return usual
+
+
+def assert_served(usual):
+    assert usual.late_or_lost() == []
+    assert usual.share_served() >= SERVED_AT_LEAST, Counter(outcome for _, _, outcome in usual.answers)
+
+
+@pytest.mark.parametrize(
+    "play",
+    [
+        hostile.half_a_large_request,
+        hostile.slow_large_requests,
+        hostile.start_with_many_short_fields,
+        hostile.many_large_requests_at_once,
+        hostile.answers_left_unread,
+        hostile.written_ahead,
+    ],
+    ids=lambda play: play.__name__,
+)
+def test_memory_limit_holds_with_hundreds_of_clients(process, play):
+    value = b"x" * 60000 if play is hostile.answers_left_unread else b"\\x9f03"
+    one = process(
+        *(slow_node(40, value) for _ in range(4)), memory_mb=MEMORY_MB, sockets=SOCKETS, settings=BUSY
+    )
+    end = host.now() + SPAN
+    usual = attack(one, [(play, one.at, number, end) for number in range(CLIENTS)])
+    assert one.alive and one.peak_mb() <= MEMORY_MB
+    assert_served(usual)
+
+
+@pytest.mark.parametrize(
+    "play",
+    [hostile.flood_of_empty_queries, hostile.flood_of_unsound_requests, hostile.flood_under_new_names],
+    ids=lambda play: play.__name__,
+)
+def test_others_are_served_while_one_connection_floods(process, play):
+    one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=SOCKETS)
+    usual = attack(one, [(play, one.at, host.now() + SPAN)])
+    assert one.alive and one.peak_mb() <= MEMORY_MB
+    assert_served(usual)
+
+
+def test_work_of_one_connection_in_a_turn_is_bounded(rig, monkeypatch):
+    one = rig(PgNode())
+    handled, most = [0], [0]
+    take = pg.ClientReader.take
+
+    def counted(reader):
+        handled[0] += 1
+        most[0] = max(most[0], handled[0])
+        return take(reader)
+
+    def turn():
+        while True:
+            handled[0] = 0
+            host.sleep(0)
+
+    monkeypatch.setattr(pg.ClientReader, "take", counted)
+    client, turns = one.client(), host.spawn(turn)
+    client.stream.send(hostile.query(b"") * 5000, 1000)
+    got = [client.until(b"Z") for _ in range(5000)]
+    host.stop(turns)
+    assert None not in got[-1] and most[0] <= 64
+
+
+def test_names_of_answered_requests_are_forgotten_in_the_end():
+    harness = BalancerHarness({"no_return": True})
+    harness.run("server a")
+    harness.run("stage 1 1.0 1 released")
+    for number in range(1, NAMES + 1):
+        harness.now += 1.0
+        harness.queue.append(("invocation", number, f"{number:08x}", 0, 0, 900.0))
+        harness.flush()
+        harness.queue.append(("outcome", number, 0, "a", SUCCEEDED, 5.0, True, {}))
+    harness.flush()
+    assert len(harness.dispatches()) == NAMES and len(harness.balancer.answered_by) <= NAMES / 2
+
+
+def runs_of(node, ident):
+    return sum(b"id=" + ident.encode() + b"," in sql for sql in node.seen)
+
+
+def test_id_of_a_client_that_left_does_not_run_twice(process):
+    node = slow_node(300)
+    one = process(node, settings=SETTINGS)
+    for ident in ("0a", "0b", "0c"):
+        first = Client(one.at)
+        first.write(select(ident, c="debit"))
+        host.sleep(80)
+        first.stream.close()
+        host.sleep(50)
+        Client(one.at).ask(select(ident, c="debit"))
+    assert [runs_of(node, ident) for ident in ("0a", "0b", "0c")] == [1, 1, 1]
+
+
+@pytest.mark.parametrize(
+    "unread",
+    [
+        b"Q" + (60 << 20).to_bytes(4, "big") + b"x" * 240000,
+        hostile.query(b"") * 40000,
+        b"".join(hostile.query(select(f"e{n:04x}", d=2000)) for n in range(4000)),
+        b"".join(hostile.query(hostile.large_insert(n, d=2000)) for n in range(20)),
+    ],
+    ids=["part of 60 MB", "empty queries", "requests", "large requests"],
+)
+def test_nothing_is_sent_for_a_client_that_closed_with_much_unread(process, unread):
+    nodes, times = [PgNode([450, said(b"XX000")]) for _ in range(3)], []
+
+    class Seen(list):
+        def append(self, sql):
+            times.append(host.now())
+
+    for node in nodes:
+        node.seen = Seen()
+    patient = deepcopy(SETTINGS)
+    for operation in patient["classes"]:
+        operation["giveUpMs"] = 3000.0
+        operation["aimMs"] = 2000.0
+    one = process(*nodes, settings=patient)
+    for number in range(3):
+        stream = hostile.started(one.at)
+        stream.send(hostile.query(select(f"ab{number:02x}", d=3000)), 1000)
+        host.sleep(30)
+        hostile.quietly(stream.send, unread, 150)
+        host.sleep(100)
+        stream.close()
+        closed = host.now()
+        host.sleep(2000)
+        assert [at - closed for at in times if at > closed + AFTER_CLOSE] == []
+        times.clear()
+
+
+def test_request_behind_an_open_one_is_answered_before_the_kill_of_a_restart(process):
+    """The kill comes at the longest time limit and 0.7 s after SIGTERM at the earliest."""
+    settings = deepcopy(SETTINGS)
+    for operation in settings["classes"]:
+        operation["giveUpMs"], operation["aimMs"] = 3000.0, 1000.0
+    hung = PgNode("silent")
+    one = process(hung, settings=settings)
+    clients = [Client(one.at) for _ in range(5)]
+    one.signal(signal.SIGTERM)
+    stopped, answered = host.now(), []
+    host.sleep(300)
+    for number, client in enumerate(clients):
+        client.write(select(f"0{number}", d=3000, c="debit"))
+    host.sleep(700)
+
+    def second(number, client):
+        client.write(hostile.large_insert(number, d=2500))
+        answers = client.until(b"Z") + client.until(b"Z")
+        answered.append((host.now() - stopped, sum(bool(m) and m[0] in b"DE" for m in answers)))
+
+    greenlets = [host.spawn(second, *pair) for pair in enumerate(clients)]
+    host.join(greenlets, 3700 - (host.now() - stopped))
+    one.signal(signal.SIGKILL)
+    assert [count for _, count in answered] == [2] * 5
+
+
+def test_flood_of_connections_leaves_descriptors_for_nodes(process):
+    one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=256)
+    held = []
+
+    def connect_many(at, end):
+        while host.now() < end:
+            hostile.quietly(lambda: held.append(host.connect(at, 500)))
+            if len(held) > 900:
+                held.pop(0).close()
+
+    end = host.now() + SPAN
+    usual = attack(one, [(connect_many, one.at, end)] * 4)
+    descriptors = len(os.listdir(f"/proc/{one.process.pid}/fd"))
+    for stream in held:
+        stream.close()
+    assert one.alive and descriptors <= 256
+    assert_served(usual)
