--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -7,19 +7,19 @@
 
 import errno
 import os
+import resource
 import select
 import signal as signals
 import socket
-import ssl
 import time
 from collections import deque
 
 import gevent
 from gevent.hub import get_hub
 from gevent.lock import BoundedSemaphore
-from gevent.threadpool import ThreadPool
 from greenlet import getcurrent
 
+STANDARD_ERROR = 2  # file descriptor
 READ, WRITE = 1, 2
 POLLED = {READ: select.POLLIN, WRITE: select.POLLOUT}
 gevent.config.track_greenlet_tree = (
@@ -101,6 +101,28 @@
         return (self.state >> 33) / 2**31
 
 
+def resident_size():
+    """Bytes of memory that are resident for this process, mapped files included."""
+    try:
+        with open("/proc/self/statm") as sizes:
+            return int(sizes.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss << 10
+
+
+def write_error_line(line):
+    """Writes one line to standard error and returns True, or False where that would wait or fails."""
+    asked = select.poll()
+    asked.register(STANDARD_ERROR, select.POLLOUT)
+    try:
+        if not any(events & select.POLLOUT for _, events in asked.poll(0)):
+            return False
+        os.write(STANDARD_ERROR, line.encode("utf-8", "replace") + b"\n")
+        return True
+    except OSError:
+        return False  # nobody reads it any more
+
+
 def on_signal(names, call):
     for name in names:
         gevent.signal_handler(getattr(signals, name), call)
@@ -125,6 +147,8 @@
     """One thread; calls given to it are made one after the other, in the order in which they were given."""
 
     def __init__(self):
+        from gevent.threadpool import ThreadPool  # here: a program without such calls is spared its memory
+
         self.pool = ThreadPool(1)
 
     def call(self, call, *fields, **named):
@@ -397,63 +421,6 @@
             stream.close()
 
 
-class Secured:
-    """A Stream under TLS: the same calls, the handshake in the first of them. Errors of TLS are ssl.SSLError, an OSError."""
-
-    def __init__(self, stream, context, name=None, server=False):
-        self.under, self.came, self.goes, self.sent = stream, ssl.MemoryBIO(), ssl.MemoryBIO(), 0
-        self.tls = context.wrap_bio(self.came, self.goes, server_side=server, server_hostname=name)
-
-    open = property(lambda self: self.under.open)
-
-    def flush(self, limit):
-        data = self.goes.read()
-        if data:
-            self.under.send(data, limit)
-
-    def through(self, call, once, limit):
-        """Runs a TLS call until it needs nothing more; None where `once` came first."""
-        end = None if limit is None else now() + limit
-        while True:
-            try:
-                result = call()
-                self.flush(limit)
-                return result
-            except ssl.SSLWantReadError:
-                self.flush(limit)
-                data = self.under.recv_or(once, 65536, None if end is None else end - now())
-                if data is None:
-                    return None
-                if data:
-                    self.came.write(data)
-                else:
-                    self.came.write_eof()
-            except ssl.SSLZeroReturnError:
-                return b""
-            except ssl.SSLEOFError:
-                raise ConnectionResetError("ended without the close of TLS") from None
-
-    def handshake(self, limit):
-        self.through(self.tls.do_handshake, None, limit)
-
-    def send(self, data, limit=None):
-        self.sent = 0
-        self.through(lambda: self.tls.write(data), None, limit)
-        self.sent = len(data)
-
-    def recv(self, size, limit=None):
-        return self.recv_or(None, size, limit)
-
-    def recv_or(self, once, size, limit=None):
-        return self.through(lambda: self.tls.read(size), once, limit)
-
-    def close(self):
-        self.under.close()
-
-    def reset(self):
-        self.under.reset()
-
-
 def address(text):
     """'host:port' to (host, port); raises ValueError."""
     host, _, port = text.rpartition(":")
--- a/gannetfront/kitchen/directory.py
+++ b/gannetfront/kitchen/directory.py
@@ -6,6 +6,7 @@
 import uuid
 
 from .. import host
+from ..secured import Secured
 from ..tenants import messages as m
 from ..tenants.filters import matches
 
@@ -106,7 +107,7 @@
         talk = Talk(self, stream)
         try:
             if self.context:
-                talk.stream = host.Secured(stream, self.context, server=True)
+                talk.stream = Secured(stream, self.context, server=True)
             talk.run()
         except (OSError, host.Timeout, m.BadMessage):
             pass
@@ -170,12 +171,12 @@
         self.put(ident, "bound", self.result(code))
 
     def certified(self):
-        return isinstance(self.stream, host.Secured) and bool(self.stream.tls.getpeercert())
+        return isinstance(self.stream, Secured) and bool(self.stream.tls.getpeercert())
 
     def on_extended(self, ident, value, controls):
         if value["name"] == m.START_TLS.encode() and self.d.start_tls:
             self.put(ident, "extended_done", self.result())
-            self.stream = host.Secured(self.stream, self.d.start_tls, server=True)
+            self.stream = Secured(self.stream, self.d.start_tls, server=True)
         else:
             self.put(ident, "extended_done", self.result("unwillingToPerform"))
 
--- a/gannetfront/tenants/reader.py
+++ b/gannetfront/tenants/reader.py
@@ -7,6 +7,7 @@
 
 from .. import host
 from ..keptfile import KeptFile
+from ..secured import Secured
 from ..wire import control_pb2 as c, frames
 from . import kept, messages as m
 from .directory import Ended, Known, Session
@@ -79,7 +80,7 @@
             ):
                 raise Ended("StartTLS refused", str((found[0][2] or {}).get("code")))
         if settings.security != "none":
-            stream = host.Secured(
+            stream = Secured(
                 stream,
                 tls_context(settings),
                 settings.name_in_certificate or settings.address.rpartition(":")[0],
--- a/gannetfront/wire/asking.py
+++ b/gannetfront/wire/asking.py
@@ -22,7 +22,9 @@
 
     try:
         if tls:
-            stream = host.Secured(stream, tls, name)
+            from ..secured import Secured  # here: whoever asks without TLS is spared its memory
+
+            stream = Secured(stream, tls, name)
             stream.handshake(time_left())
         stream.send(
             http.request(path, address.encode(), [*headers, (b"connection", b"close")], body), time_left()
--- a/tests/edge_process.py
+++ b/tests/edge_process.py
@@ -17,9 +17,9 @@
 class EdgeProcess:
     """One proxy process; `nodes` are its servers and `limits` what its configuration grants it."""
 
-    def __init__(self, tmp_path, *nodes, memory_mb=64, sockets=1024, settings=SETTINGS, hosts=()):
+    def __init__(self, tmp_path, *nodes, memory_mb=64, sockets=1024, settings=SETTINGS, stderr=None):
         self.nodes = nodes
-        self.platform = Platform([listed(n, node) for n, node in enumerate(nodes)] + list(hosts))
+        self.platform = Platform([listed(n, node) for n, node in enumerate(nodes)])
         free = host.Listener("127.0.0.1:0")
         free.close()
         self.at = free.where
@@ -28,7 +28,9 @@
         self.write_configuration(settings)
         self.log = open(self.log_path, "wb")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "gannetfront.edge"], env={"EDGE_CONFIG": self.path}, stderr=self.log
+            [sys.executable, "-m", "gannetfront.edge"],
+            env={"EDGE_CONFIG": self.path},
+            stderr=self.log if stderr is None else stderr,
         )
         self.wait_until_serving()
 
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -236,3 +236,22 @@
         stream.close()
     assert one.alive and descriptors <= 256
     assert_served(usual)
+
+
+def test_log_that_nobody_reads_does_not_hold_up_the_proxy(process):
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        while os.write(writer, b"x" * 65536):
+            pass
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    try:
+        one = process(slow_node(), stderr=writer)
+        assert Client(one.at).ask(select("01")) == b"\\x9f03"
+        os.read(reader, 1 << 20)
+        one.signal(signal.SIGHUP)
+        assert b"log lines dropped" in os.read(reader, 1 << 20)
+    finally:
+        os.close(reader)
+        os.close(writer)
