One memory budget for all that is held for clients and servers; connections read on

Attempts began 0.3 s after a close that lay behind unread bytes, and a request behind an open one had no answer before the kill of a restart.

Cause: bytes were bounded for each connection, in seven places that did not know of each other, and the number of connections came from the descriptors alone. What a bound met was left in the socket, where a close and an arrival time are not seen. Weighed and measured: (1) parts of requests in readers, 480 x 130 KB; (2) the buffer of the last read, up to 64 KB, kept alive by a local variable of each waiting greenlet: 20 of 55 MB; (3) the repeated group in the statement's expression, 6.5 MB for one value of 64 KiB; (4) garbage in reference cycles. Start messages of many short fields (44 MB) and silent clients (34 MB) alone do not pass the limit.

Change: gannetfront/memory.py makes one budget from limits.memory_mb and the size of the process; connections, requests in part, contents, answers and invocations reserve their share before they read or begin. A large request with no room is dropped as it comes and refused at its end (53300); the oldest one in part gives way to a new one after 0.1 s. Dispatches reserve a whole answer before they read on. Bytes have an arrival time, so a late read does not tell a node more time than is left. The status line has the figures, and refusals, closes and dispatches are logged with their reason and id, ten lines a second.

--- a/gannetfront/edge/__main__.py
+++ b/gannetfront/edge/__main__.py
@@ -28,7 +28,9 @@
         return 2
     log = logs("gannet-edge", "info").bind(name=os.environ.get("EDGE_NAME", ""))
     try:
-        edge = Edge(config.Start(config.read(path), os.environ), path, log)
+        start = config.Start(config.read(path), os.environ)
+        edge = Edge(start, path, log)
+        start.budget.count_program(host.resident_size())
         edge.start()
     except config.BadSetting as error:
         print(error, file=sys.stderr)
--- a/gannetfront/edge/config.py
+++ b/gannetfront/edge/config.py
@@ -10,10 +10,12 @@
 from .. import host
 from ..benchlink import codec
 from ..benchlink.codec import BadSetting
+from ..memory import MIB, MemoryBudget
 from ..wire import BadAnswer
 from ..wire.platform import Listing, news
 from .budget import Budget
 
+DEFAULT_MEMORY_MB = 192  # the most that the platform grants
 MARGIN = 10.0  # ms subtracted from a client's time limit, so that the answer is written before it ends
 
 
@@ -96,7 +98,11 @@
         ):
             if not isfinite(value) or value <= 0:
                 raise BadSetting(f"settings.ceilings.{name}: must be above 0")
-        self.budget = Budget(int(number(limits, "sockets", "limits.")))
+        memory_mb = number(limits, "memory_mb", "limits.") if "memory_mb" in limits else DEFAULT_MEMORY_MB
+        if not isfinite(memory_mb) or memory_mb <= 0:
+            raise BadSetting("limits.memory_mb: must be above 0")
+        self.memory = MemoryBudget(int(memory_mb * MIB))
+        self.budget = Budget(int(number(limits, "sockets", "limits.")), self.memory)
         seed = str(document.get("seed", ""))
         try:
             self.seed = int(seed, 16)
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -13,13 +13,15 @@
 from ..wire import BadAnswer, pg
 from . import config
 from .api import ReleaseApi
-from .budget import IDLE, UNUSED
+from .budget import IDLE, MAX_TURNED_AWAY, UNUSED
 from .clients import Clients
 from .discovery import Discovery
+from .event_log import EventLog
 
 USER, DATABASE = b"client", b"core"
 ACCEPT_GRACE = 600.0  # ms after SIGTERM in which new connections and requests are still accepted
 ANSWER_LIMIT = 1 << 18  # bytes of a node's answer
+BACKLOG_LIMIT = 300.0  # ms to accept what the kernel has accepted by then
 STATUS_INTERVAL = 5000.0  # ms between status lines in the log
 
 
@@ -45,7 +47,10 @@
             log,
             start.me,
             pg,
+            start.memory,
         )
+        self.events = EventLog(log, host.now)
+        self.rounds.on_dispatch_end = self.record_dispatch_end
         self.rounds.on_restart, self.rounds.build_of = self.refill, lambda name: self.discovery.build(name)
         jitter = host.Jitter(start.seed + 1)
         self.rounds.set_retry_advice(start.facts, retry_delay, jitter)
@@ -66,7 +71,7 @@
             log,
         )
         self.rounds.link = self.api
-        self.clients = Clients(self.rounds, start.operations, start.limits, self.budget, log)
+        self.clients = Clients(self.rounds, start.operations, start.limits, self.budget, self.events)
         self.signals, self.done, self.draining, self.listen = None, host.Once(), False, start.listen
         if start.facts.may_signal and start.peer_listen:
             self.signals = Signals(start.me, start.peer_listen, self.rounds.put_event, bare=True)
@@ -151,10 +156,6 @@
             self.pools.sweep(self.discovery.entries)
             if host.now() - reported_at >= STATUS_INTERVAL:
                 rounds, reported_at = self.rounds, host.now()
-                turned_away, self.clients.turned_away = (
-                    dict(self.clients.turned_away),
-                    type(self.clients.turned_away)(),
-                )
                 self.log.info(
                     "status",
                     held=len(rounds.held),
@@ -164,7 +165,9 @@
                     bound=min(1e6, round(rounds.balancer.open_limit, 1)),
                     rounds=rounds.round_count,
                     decisions_ms=round(rounds.decision_time - decision_time_before),
-                    turned_away=turned_away,
+                    resident_kb=host.resident_size() >> 10,
+                    memory=self.budget.memory.describe(),
+                    events=self.events.take_counts(),
                     ends={
                         f"{kind} {operation}": count
                         for (kind, operation), count in sorted(rounds.answer_counts.items())
@@ -172,6 +175,13 @@
                 )
                 decision_time_before = rounds.decision_time
 
+    def record_dispatch_end(self, held, seq, address, status, duration):
+        """Logs a dispatch without a success; a further one may follow it."""
+        if status != SUCCEEDED:
+            self.events.record(
+                "dispatch ended", status, id=held.context.name, seq=seq, node=address, ms=round(duration)
+            )
+
     def reload(self):
         """SIGHUP: applies the addresses of the configuration file; a file that is not valid changes
         nothing."""
@@ -192,9 +202,7 @@
         self.draining = True
         self.log.info("stopping", held=len(self.rounds.held))
         host.sleep(ACCEPT_GRACE)
-        # Connections that the kernel has accepted and a delayed accept loop has not yet seen are served too.
-        for stream in self.listener.backlog():
-            host.spawn(self.clients.handle, stream)
+        self.take_backlog()
         self.listener.close()
         self.clients.draining = True
         self.budget.evict_idle((UNUSED, IDLE))
@@ -203,3 +211,15 @@
             host.sleep(5)
         self.log.info("stopped")
         self.done.set()
+
+    def take_backlog(self):
+        """Serves the connections that the kernel has accepted and a delayed accept loop has not yet seen."""
+        deadline = host.now() + BACKLOG_LIMIT
+        while True:
+            room = self.budget.max_clients + MAX_TURNED_AWAY - len(self.clients.open)
+            streams = self.listener.backlog(max(0, room))
+            for stream in streams:
+                host.spawn(self.clients.handle, stream)
+            if not self.listener.ready(host.READ) or host.now() >= deadline:
+                return
+            host.sleep(0 if streams else 2)
--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -302,8 +302,12 @@
         return "ready" if why == "late" and self.ready(event) else why
 
     def ready(self, event):
+        return self.shows(POLLED[event])
+
+    def shows(self, events):
+        """Whether one of these poll events, an error or a break is there now."""
         asked = select.poll()
-        asked.register(self.sock, POLLED[event])
+        asked.register(self.sock, events)
         return bool(asked.poll(0))
 
     def close(self):
@@ -381,7 +385,7 @@
         return self.peek() is not None
 
     def ended(self):
-        """True where the peer's end or a break comes next. A close behind bytes that nobody has read is not seen."""
+        """True where the peer's end or a break has come, also behind bytes that nobody has read."""
         return self.peek() == b""
 
     def reset(self):
@@ -410,10 +414,10 @@
             stream.sock.shutdown(socket.SHUT_WR)
             left, end = self.size, now() + (self.limit if self.lingering <= self.most else 0.0)
             while left > 0:
-                data = stream.recv(min(left, 65536), end - now())
-                if not data:
+                size = len(stream.recv(min(left, 16384), end - now()))
+                if not size:
                     break
-                left -= len(data)
+                left -= size
         except (OSError, Timeout):
             pass  # it broke, or its time is over
         finally:
@@ -480,11 +484,11 @@
             except OSError:
                 return None
 
-    def backlog(self):
-        """The streams that the machine has accepted and nobody has taken yet: a peer may have written on them."""
+    def backlog(self, most):
+        """Up to `most` streams that the machine has accepted and nobody has taken: a peer may have written on them."""
         streams = []
         try:
-            while True:
+            while len(streams) < most:
                 streams.append(Stream(self.sock.accept()[0]))
         except OSError:
             return streams  # none is left, or there is no descriptor for one more
--- a/gannetfront/proxy/clients.py
+++ b/gannetfront/proxy/clients.py
@@ -163,6 +163,7 @@
             )
         held.context.client_gone = stream.ended
         client_gone, later_bad_request = self.wait_for_answer(stream, reader, held, margin)
+        held.context.end(held.answer[0] == SUCCEEDED)
         if client_gone:
             return b"", False, True, None
         kind, *details = held.answer
--- a/gannetfront/proxy/flights.py
+++ b/gannetfront/proxy/flights.py
@@ -8,6 +8,7 @@
 
 from .. import host
 from ..interface import CANCELLED, FULL, MOOT, RESET, TIMEOUT, UNCONNECTED
+from ..memory import MemoryBudget, Purpose, Reservation
 from ..wire import BadAnswer
 
 # Reasons for a missing connection that do not tell whether the node is there: it takes no more connections,
@@ -20,15 +21,19 @@
     "enfile": MOOT,
     "not listed": MOOT,
 }
+FIRST_READ = 4096  # bytes; a small answer needs no memory beyond what its dispatch has reserved
+MAX_READ = 65536  # bytes
+MEMORY_WAIT = 5.0  # ms between looks for memory for the rest of an answer
 
 
 class Flight:
     """A dispatch in flight to the node at `address`, since `started_at` ms. Setting `stop` cancels it."""
 
-    def __init__(self, address, encode, limit, reader, still_wanted=lambda waited: True):
+    def __init__(self, address, encode, limit, reader, still_wanted=lambda waited: True, memory=None):
         """`encode(time_left)` returns the request's bytes, with the ms that the node has left. `limit` is the
         time limit in ms and `reader` reads the answer. `still_wanted(waited)` tells whether the dispatch is
-        still to be sent, where `waited` tells whether it had to wait for a disk or a connection."""
+        still to be sent, where `waited` tells whether it had to wait for a disk or a connection. `memory` is the
+        Reservation for a large answer."""
         self.address = address
         self.encode = encode
         self.limit = limit
@@ -37,6 +42,7 @@
         self.stop = host.Once()
         self.started_at = host.now()
         self.waited = False
+        self.memory = memory or Reservation(MemoryBudget(), Purpose.ANSWER)
 
     def exclude_wait(self):
         """Starts the clock again: the time until now was not spent at the node."""
@@ -81,11 +87,11 @@
 
     def exchange(self, stream, data):
         """Writes the request and reads its answer; returns (status, reader of a complete answer or None)."""
-        stream.sent = 0
+        stream.sent, size = 0, len(data)
         self.received_any = False
 
         def not_begun():
-            return stream.sent < (len(data) if self.reader.begins_whole else 1)
+            return stream.sent < (size if self.reader.begins_whole else 1)
 
         try:
             if not stream.send_or(self.stop, data, max(1.0, self.time_left())):
@@ -97,21 +103,54 @@
             if not_begun():
                 return UNCONNECTED, None
             # The node may have answered and closed before it had read the whole request: read its answer.
-        reader = self.reader
+        del data  # a large request is not kept while its answer is awaited
+        return self.read_answer(stream, size)
+
+    def read_answer(self, stream, request_size):
+        """Reads the answer; returns as exchange() does. `request_size` is the size of the request in bytes."""
+        reader, received = self.reader, 0
         while not reader.whole:
             try:
-                chunk = stream.recv_or(self.stop, 65536, max(1.0, self.time_left()))
-                if chunk is None:
-                    stream.reset()
-                    return CANCELLED, None
-                self.received_any = self.received_any or bool(chunk)
-                reader.feed(chunk)
+                size = self.read_some(stream, received)
             except host.Timeout:
                 return TIMEOUT, None
             except (OSError, BadAnswer):
                 return RESET, None
-            if not chunk and not reader.whole:
+            if size is None:
+                stream.reset()
+                return CANCELLED, None
+            received += size
+            if not size and not reader.whole:
                 return RESET, None
-        if stream.sent < len(data):
+        if stream.sent < request_size:
             reader.extra = True  # the node has not read the rest of the request: the connection is not reused
         return reader.outcome(), reader
+
+    def read_some(self, stream, received):
+        """Passes the next bytes of the answer to the reader. Returns how many there were, or None where the dispatch
+        was called off."""
+        size = self.reserve_read(received)
+        chunk = None if size is None else stream.recv_or(self.stop, size, max(1.0, self.time_left()))
+        if chunk is None:
+            return None
+        self.received_any = self.received_any or bool(chunk)
+        self.reader.feed(chunk)
+        return len(chunk)
+
+    def reserve_read(self, received):
+        """The number of bytes that may be read behind `received` ones, or None where the dispatch was called off.
+
+        Waits until memory for them is reserved; nothing is read meanwhile. Raises host.Timeout."""
+        if not received:
+            return FIRST_READ
+        # Enough for the rest of the message at once: two dispatches with a part each could both wait for ever.
+        size = max(FIRST_READ, min(self.reader.wanted, MAX_READ))
+        while not self.memory.resize(max(self.memory.size, received + self.reader.wanted)):
+            if self.time_left() <= 0:
+                raise host.Timeout()
+            try:
+                self.stop.wait(min(MEMORY_WAIT, self.time_left()))
+                return None
+            except host.Timeout:
+                continue
+        return size
--- a/gannetfront/proxy/proxy.py
+++ b/gannetfront/proxy/proxy.py
@@ -361,7 +361,7 @@
         self.clients.stopping = True
         self.log.info("stopping", held=len(self.rounds.held))
         # Connections that the kernel has accepted already get their answers too.
-        for stream in self.listener.backlog():
+        for stream in self.listener.backlog(self.max_clients):
             host.spawn(self.clients.handle, stream)
         self.listener.close()
         if self.duties:
--- a/gannetfront/proxy/rounds.py
+++ b/gannetfront/proxy/rounds.py
@@ -8,44 +8,31 @@
 from .. import host
 from ..calm.storm import StormDetector
 from ..interface import ERROR, MOOT, RESET, SUCCEEDED
+from ..memory import MemoryBudget, Purpose, Reservation
 from ..trail import Refused
 from .carrier import Carrier
 from .flights import Flight
-
-
-class Request:
-    """What the dispatches of an invocation need of its client's request. Only the codec reads `content`.
-
-    `done` is set with the final answer, `arrived_at` is the time of arrival in ms and `client_gone()` tells
-    whether the client has closed its connection."""
-
-    __slots__ = "content", "name", "done", "arrived_at", "tenant", "client_gone"
-
-    def __init__(self, content, name, tenant):
-        self.content = content
-        self.name = name
-        self.tenant = tenant
-        self.done = host.Once()
-        self.arrived_at = host.now()
-        self.client_gone = lambda: False  # replaced by the owner of the client's connection
+from .request import Request
 
 
 class RoundLoop:
     """Takes invocations, runs the balancer's rounds and carries out its decisions on sockets.
 
     `decision_time` is the time spent in rounds so far, in ms. The functions `refusal_for`,
-    `status_for_balancer`, `withholds_vote`, `on_outcome`, `on_restart` and `build_of` may be replaced by the
-    owner."""
+    `status_for_balancer`, `withholds_vote`, `on_outcome`, `on_dispatch_end`, `on_restart` and `build_of` may be
+    replaced by the owner."""
 
-    def __init__(self, make_balancer, tick, max_held, answer_limit, pools, log, number, codec):
+    def __init__(self, make_balancer, tick, max_held, answer_limit, pools, log, number, codec, memory=None):
         """`make_balancer()` returns a fresh Balancer: at the start, and again if a round raises. `tick` is
         the minimum time between rounds in ms, `answer_limit` the largest answer in bytes, `number` this
         proxy's. `codec` is the protocol to nodes: name_of(content), dispatch(content, addr, name, seq, limit)
-        and Reply(limit), a reader of answers."""
+        and Reply(limit), a reader of answers. `memory` is the budget of what is held for invocations; without
+        it there is no bound in bytes."""
         self.tick = tick
         self.max_held = max_held
         self.answer_limit = answer_limit
         self.codec = codec
+        self.memory = memory or MemoryBudget()
         self.pools = pools
         self.logger = log
         self.name = b"proxy/%d" % number
@@ -64,6 +51,7 @@
         self.decision_time = 0.0
         self.round_count = 0
         self.on_outcome = lambda *fields: None
+        self.on_dispatch_end = lambda held, seq, address, status, duration: None
         self.trail = None
         self.needs_trail = ()  # by operation
         self.watch = StormDetector(host.now())
@@ -112,10 +100,14 @@
                 b"it cannot be written down now",
                 self.retry_advice(operation),
             )  # nothing was executed; operations that need no disk are still served
+        request = None
+        if not refusal:
+            request = Request(content, self.codec.name_of(content), tenant, self.memory)
+            if not request.reserve():
+                refusal = b"too little memory is left", self.retry_advice(operation)
         if refusal:
             self.refusal_reason, self.retry_after = refusal
             return None
-        request = Request(content, self.codec.name_of(content), tenant)
         held = self.carrier.accept(operation, tenant, key, host.now() + time_left, time_left, request)
         self.wake()
         return held
@@ -176,6 +168,10 @@
     def launch(self, held, seq, address, limit):
         """Starts a dispatch in a greenlet of its own."""
         generation = self.carrier.generation
+        if not held.context.begin_dispatch():
+            # Nothing is sent: there is too little memory for a further dispatch of this request.
+            self.carrier.report_outcome(held, seq, generation, address, MOOT, 0.0, {})
+            return self.wake()
 
         def still_wanted(waited):
             return (
@@ -190,6 +186,7 @@
             limit,
             self.codec.Reply(self.answer_limit),
             still_wanted,
+            Reservation(self.memory, Purpose.ANSWER),
         )
         # The pool as of now: a later list may give the address to another process than the chosen one.
         host.spawn(self.run_dispatch, held, seq, flight, generation, self.pools.pool_for(address))
@@ -202,12 +199,16 @@
             # Else the balancer counts it as in flight for ever: the client waits, the node looks loaded.
             self.logger.error("dispatch failed", why=f"{type(error).__name__}: {error}", node=flight.address)
             status, answer = RESET, None
-        if status == SUCCEEDED:
-            self.carrier.finish(held, SUCCEEDED, *answer.content())
+        if status == SUCCEEDED and self.carrier.finish(held, SUCCEEDED, *answer.content()):
+            held.context.keep_answer(flight.memory)
+        else:
+            flight.memory.release()
+        held.context.end_dispatch(status)
         duration = host.now() - flight.started_at
         if generation == self.carrier.generation:
             del self.flights[held.invocation_id, seq]
             self.on_outcome(flight.address, held.operation, status, duration)
+            self.on_dispatch_end(held, seq, flight.address, status, duration)
             self.watch.on_dispatch(self.build_of(flight.address), status, status == SUCCEEDED)
             self.carrier.report_outcome(
                 held,
--- a/gannetfront/wire/http.py
+++ b/gannetfront/wire/http.py
@@ -152,13 +152,15 @@
 
 
 class AnswerReader:
-    """Parses one answer of at most `limit` bytes from the bytes given to `feed`.
+    """Parses one answer of at most `limit` bytes from the bytes given to `feed`; `wanted` is how many to read next.
 
     Once `whole` is True, `status`, `headers` and `body` are set, and `reusable` tells whether the connection can
     carry another request. `extra` is True where bytes followed the answer, or where
     the caller sets it to prevent reuse.
     """
 
+    wanted = 65536  # bytes
+
     def __init__(self, limit):
         self.limit = limit
         self.whole = False
--- a/gannetfront/wire/pg.py
+++ b/gannetfront/wire/pg.py
@@ -14,9 +14,12 @@
 
 VALUE_LIMIT = 65536  # bytes of a value
 QUERY_LIMIT = 2 * VALUE_LIMIT + 4096  # a value stands in hexadecimal
+START_LIMIT = 10000  # bytes of a startup message
+SMALL_MESSAGE = 4096  # bytes; a connection always has room for one
 LONG = Struct("!I")
 VERSION, TLS, GSS, CANCEL = 196608, 80877103, 80877104, 80877102
 TURNED_AWAY = (b"53300",)
+LOAD_REPORT = b"server_load"  # the parameter in which a node reports its load
 # What the platform calls the figures of a node's report.
 REPORT = {
     b"inflight": "inflight",
@@ -40,29 +43,88 @@
 
 
 class ClientReader:
-    """`feed(bytes)`, then `take()` until None: ("plain",) a wish for encryption, which is not offered, ("start", parameters),
-    ("query", sql) or ("end",)."""
+    """Splits what a client writes into messages: `feed(bytes)`, then `take()` until None.
+
+    A message is ("plain",) a wish for encryption, which is not offered, ("start", parameters), ("query", sql), ("end",), or
+    ("skipped",) for a query that was dropped unread, as there was no room for it.
+
+    `held` are the bytes of messages that were not taken yet, `declared` the size of a large message of which only a part
+    has come, else 0.
+    """
 
     PARTS = {b"Q": QUERY_LIMIT, b"X": 4}
     EXTENDED = b"PBEDCSHFdcfp"
 
-    def __init__(self):
-        self.held, self.started, self.wishes = bytearray(), False, 0
+    def __init__(self, room_for=lambda size: True):
+        """`room_for(size)` is asked once for each message of over SMALL_MESSAGE bytes, before its rest is kept."""
+        self.room_for = room_for
+        self.held = bytearray()
+        self.started = False
+        self.wishes = 0
+        self.declared = 0
+        self.to_skip = 0
+        self.skipped = False
 
-    begun = property(lambda self: bool(self.held))
+    @property
+    def begun(self):
+        """Whether a message has come in part."""
+        return bool(self.held) or self.to_skip > 0
+
+    @property
+    def wanted(self):
+        """How many bytes to read next: the rest of a large message, or what small ones may have."""
+        if self.to_skip:
+            return self.to_skip
+        return max(1, self.declared - len(self.held)) if self.declared else SMALL_MESSAGE
 
     def feed(self, data):
+        if self.to_skip:
+            dropped = min(self.to_skip, len(data))
+            self.to_skip -= dropped
+            self.skipped = not self.to_skip
+            data = data[dropped:]
         self.held += data
 
     def take(self):
-        """Raises BadMessage."""
+        """The next whole message, or None. Raises BadMessage."""
+        if self.skipped:
+            self.skipped = False
+            return ("skipped",)
         return self.message() if self.started else self.start()
 
+    def close(self):
+        """Drops what is held, and whoever was asked for room: it may refer back to the reader."""
+        self.held.clear()
+        self.room_for = None
+
+    def skip(self):
+        """Drops the large message that has come in part, and what is still to come of it."""
+        self.to_skip = self.declared - len(self.held)
+        self.held.clear()
+        self.declared = 0
+
+    def has_room(self, size):
+        """Whether the message may be kept; asks for it when its size is first seen."""
+        if size <= SMALL_MESSAGE or self.declared:
+            return True
+        self.declared = size
+        if self.room_for(size):
+            return True
+        self.declared = 0
+        return False
+
+    def remove(self, size):
+        """Takes a message of `size` bytes from the bytes held."""
+        message = bytes(memoryview(self.held)[:size])
+        del self.held[:size]
+        self.declared = 0
+        return message
+
     def start(self):
         if len(self.held) < 4:
             return None
         size = LONG.unpack_from(self.held)[0]
-        if not 8 <= size <= 10000:
+        if not 8 <= size <= START_LIMIT:
             raise BadMessage(b"08P01", f"a startup message cannot have {size} bytes", True)
         if len(self.held) < 8:
             return None
@@ -77,10 +139,11 @@
             raise BadMessage(b"0A000", "cancel requests are not served", True)
         if code >> 16 != 3:
             raise BadMessage(b"0A000", f"protocol {code >> 16}.{code & 0xFFFF} is not served, only 3.0", True)
+        if not self.has_room(size):
+            raise BadMessage(b"53300", "no room for a startup message of this size now", True)
         if len(self.held) < size:
             return None
-        body = bytes(self.held[8:size])
-        del self.held[:size]
+        body = self.remove(size)[8:]
         words = body[:-1].split(b"\0") if body[-1:] == b"\0" else []
         if len(words) % 2 != 1 or words[-1] or not all(words[:-1:2]) or b"user" not in words[:-1:2]:
             raise BadMessage(b"08P01", "the startup message is no list of names and values with a user", True)
@@ -101,19 +164,21 @@
         if not 4 <= size <= self.PARTS[kind]:
             raise BadMessage(b"08P01", f"a message {kind.decode()} cannot have {size} bytes", True)
         if len(self.held) <= size:
+            if not self.has_room(size + 1):
+                self.declared = size + 1
+                self.skip()
             return None
-        body = bytes(self.held[5 : size + 1])
-        del self.held[: size + 1]
+        message = self.remove(size + 1)
         if kind == b"X":
             return ("end",)
-        if body.find(b"\0") != len(body) - 1:
+        if message.find(b"\0", 5) != len(message) - 1:
             raise BadMessage(b"08P01", "a query does not end with its one zero byte", True)
-        return "query", body[:-1]
+        return "query", message[5:-1]
 
 
 STATEMENT = re.compile(
     rb"(?:SELECT val FROM state WHERE uid = '([0-9a-f]{1,64})'"
-    rb"|INSERT INTO state \(uid, val\) VALUES \('([0-9a-f]{1,64})', '\\x((?:[0-9a-f][0-9a-f])*)'\) RETURNING val)"
+    rb"|INSERT INTO state \(uid, val\) VALUES \('([0-9a-f]{1,64})', '\\x([0-9a-f]*)'\) RETURNING val)"
     rb" /\* ([ -)+-.0-~]{1,512}) \*/"
 )
 WORDS = {
@@ -129,7 +194,8 @@
     """(operation, uid, id, time left in ms, repeat, content for dispatches). `operations` maps names in bytes to (index,
     fingerprinted). Raises BadMessage, which names what is wrong."""
     found = STATEMENT.fullmatch(sql)
-    if not found:
+    # Pairs of digits are not left to the expression: a repeated group takes 50 times their size in memory.
+    if not found or len(found.group(3) or b"") % 2:
         raise BadMessage(b"42601", "not a statement that is served here, with its comment")
     if found.group(3) is not None and len(found.group(3)) > 2 * VALUE_LIMIT:
         raise BadMessage(b"54000", f"a value of over {VALUE_LIMIT} bytes")
@@ -187,8 +253,10 @@
 
 
 class NodeReader:
-    """Splits what a node writes; a type or a length that has no place there raises BadAnswer at once, so that a value said to
-    have 3 GB is met at its first bytes."""
+    """Splits what a node writes; `wanted` is how many bytes the message lacks that has come in part.
+
+    A type or a length that has no place there raises BadAnswer at once, so that a value said to have 3 GB is met at its
+    first bytes."""
 
     SIZES = {
         b"R": (8, 512),
@@ -203,13 +271,15 @@
     }
 
     def __init__(self, limit=1 << 18):
-        self.held, self.limit, self.seen, self.code, self.told = bytearray(), limit, 0, None, {}
+        self.held, self.limit, self.seen, self.code, self.load_report = bytearray(), limit, 0, None, b""
+        self.wanted = 0
 
     def feed(self, data):
         self.seen += len(data)
         if self.seen > self.limit:
             raise BadAnswer(f"past {self.limit} bytes")
         self.held += data
+        self.wanted = 0
         at, held = 0, self.held
         while len(held) > at:
             kind = bytes(held[at : at + 1])
@@ -221,6 +291,7 @@
             if not least <= size <= most:
                 raise BadAnswer(f"a message {kind.decode()} of {size} bytes")
             if len(held) <= at + size:
+                self.wanted = at + size + 1 - len(held)
                 break
             self.on(kind, bytes(held[at + 5 : at + size + 1]), bytes(held[at : at + size + 1]))
             at += size + 1
@@ -230,7 +301,8 @@
         words = body.split(b"\0")
         if len(words) != 3 or words[2]:
             raise BadAnswer("a parameter that is no name and value")
-        self.told[words[0]] = words[1]
+        if words[0] == LOAD_REPORT:
+            self.load_report = words[1]
 
     def error(self, body):
         """The code of an ErrorResponse, every field of which must be there whole."""
@@ -331,7 +403,7 @@
     def load(self):
         """The node's report of its load, whole or not at all."""
         load = {}
-        for part in filter(None, self.told.get(b"server_load", b"").split(b",")):
+        for part in filter(None, self.load_report.split(b",")):
             name, _, figure = part.partition(b"=")
             try:
                 value = float(figure)
--- a/tests/edge_process.py
+++ b/tests/edge_process.py
@@ -8,6 +8,7 @@
 
 from edge_rig import NEWS, SETTINGS, Client, PgNode, Platform, fields, row, select
 from gannetfront import host
+from gannetfront.wire import pg
 
 START_LIMIT = 20000.0  # ms until the proxy serves
 GRACE = 500.0  # ms after its time limit within which a request must have its final answer
@@ -29,7 +30,7 @@
         self.log = open(self.log_path, "wb")
         self.process = subprocess.Popen(
             [sys.executable, "-m", "gannetfront.edge"],
-            env={"EDGE_CONFIG": self.path},
+            env={"EDGE_CONFIG": self.path} | {k: v for k, v in os.environ.items() if k.startswith("MALLOC_")},
             stderr=self.log if stderr is None else stderr,
         )
         self.wait_until_serving()
@@ -121,7 +122,12 @@
         for _ in range(2):
             reused = self.client is not None
             try:
-                self.client = self.client or Client(self.at)
+                if not reused:
+                    self.client = Client(self.at, start=False)
+                    self.client.stream.send(pg.startup(b"client", b"core"), 1000)
+                    outcome, whole = self.read_answer()
+                    if not whole:
+                        return outcome
                 self.client.write(sql)
                 outcome, whole = self.read_answer()
             except (OSError, AssertionError, host.Refused, host.Timeout):
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -1,13 +1,20 @@
-"""Clients that hold on to a proxy's memory or time: each function plays one of them against `at` until `end` (ms)."""
+"""Clients that hold on to a proxy's memory or time: each function plays one of them against `at` until `end` (ms).
 
+`python hostile_clients.py NAME ADDRESS SPAN COUNT` plays `COUNT` of one kind for `SPAN` ms, in a process of its own.
+"""
+
+import pathlib
 import socket
+import subprocess
+import sys
 from struct import pack
 
 from edge_rig import insert, select
 from gannetfront import host
 from gannetfront.wire import pg
 
-LARGE_VALUE = "9f" * 64000
+ROOT = str(pathlib.Path(__file__).parent)
+LARGE_VALUE = b"\\x" + b"9f" * 64000
 PIECE = 4000  # bytes that a slow client writes at a time
 WAIT = 45.0  # ms between two pieces
 
@@ -18,7 +25,7 @@
 
 def large_insert(number, d=800, c="look"):
     """A statement near the largest that is served, and unlike any other."""
-    return insert(f"a{number:011x}", d=d, c=c, more="").replace(b"\\x9f03", b"\\x" + LARGE_VALUE.encode())
+    return insert(f"a{number:011x}", d=d, c=c, more="").replace(b"\\x9f03", LARGE_VALUE)
 
 
 def started(at):
@@ -88,6 +95,15 @@
     wait_until(end)
 
 
+def open_connections(at, number, end):
+    """Opens connections at full speed, says nothing on them and holds hundreds."""
+    held = []
+    while host.now() < end:
+        quietly(lambda: held.append(host.connect(at, 500)))
+        if len(held) > 250:
+            held.pop(0).close()
+
+
 def read_and_drop(stream):
     try:
         while stream.recv(65536, 5000):
@@ -96,24 +112,25 @@
         pass
 
 
-def flood(at, end, statements):
+def flood(at, number, end, statements):
     """Writes what `statements(count)` returns at full speed on one connection, and reads the answers."""
     stream, count = started(at), 0
     host.spawn(read_and_drop, stream)
     while host.now() < end:
-        stream.send(b"".join(map(query, statements(count))), 3000)
+        stream.send(b"".join(map(query, statements(number << 16 | count))), 3000)
         count += 1
     stream.close()
 
 
-def flood_of_empty_queries(at, end):
-    flood(at, end, lambda count: [b""] * 2000)
+def flood_of_empty_queries(at, number, end):
+    flood(at, number, end, lambda count: [b""] * 2000)
 
 
-def flood_of_unsound_requests(at, end):
+def flood_of_unsound_requests(at, number, end):
     """Two that cannot be read, then one that can, so that the connection is kept."""
     flood(
         at,
+        number,
         end,
         lambda count: [
             sql for n in range(300) for sql in (b"SELEC", b"SELEC", select(f"d{count:06x}{n:04x}"))
@@ -121,9 +138,10 @@
     )
 
 
-def flood_under_new_names(at, end):
+def flood_under_new_names(at, number, end):
     flood(
         at,
+        number,
         end,
         lambda count: [select(f"e{count:06x}{n:04x}", uid=f"{count:06x}{n:04x}" * 6) for n in range(300)],
     )
@@ -135,3 +153,18 @@
         play(*arguments)
     except (OSError, host.Refused, host.Timeout):
         pass
+
+
+def play_in_this_process(name, at, span, count):
+    end = host.now() + float(span)
+    greenlets = [host.spawn(quietly, globals()[name], at, number, end) for number in range(int(count))]
+    host.join(greenlets, float(span) + 5000.0)
+
+
+def start(play, at, span, count):
+    """Starts a process that plays `count` clients of this kind for `span` ms."""
+    return subprocess.Popen([sys.executable, __file__, play.__name__, at, str(span), str(count)], cwd=ROOT)
+
+
+if __name__ == "__main__":
+    play_in_this_process(*sys.argv[1:])
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -13,6 +13,7 @@
 
 from gannetfront import host, interface as i
 from gannetfront.edge import budget
+from gannetfront.edge.session import Session
 from gannetfront.proxy.flights import Flight
 from gannetfront.proxy.pools import Pool
 from gannetfront.wire import BadAnswer, http, pg
@@ -110,7 +111,7 @@
 
 def test_a_request_that_comes_at_the_limit_is_read(rig, monkeypatch):
     """Against a client whose wait is over in the very turn in which its request is there: it was never read, round and round."""
-    monkeypatch.setattr("gannetfront.edge.clients.IDLE_TIMEOUT", 20.0)
+    monkeypatch.setattr("gannetfront.edge.session.IDLE_TIMEOUT", 20.0)
     one = rig(PgNode(GOOD))
     client = one.client()
     client.stream.sock.send(query(select("01")))
@@ -277,7 +278,7 @@
 
 def test_a_second_stop_and_a_client_that_does_not_read(rig, monkeypatch):
     monkeypatch.setattr("gannetfront.edge.edge.ACCEPT_GRACE", 0.0)
-    monkeypatch.setattr("gannetfront.edge.clients.WRITE_TIMEOUT", 300.0)
+    monkeypatch.setattr("gannetfront.edge.session.WRITE_TIMEOUT", 300.0)
     one = rig(PgNode())
     client = one.client()
     for some, side in (
@@ -330,7 +331,14 @@
 
 def test_nothing_begins_for_a_client_whose_close_nobody_has_read(rig, monkeypatch):
     """A connection comes up in the very turn in which its client leaves: its own socket is asked, not who reads it."""
-    monkeypatch.setattr("gannetfront.edge.clients.READ_AHEAD", 0)  # nobody reads on
+    read = Session.read
+
+    def read_nothing_while_an_answer_is_due(session):
+        if not session.pending:
+            return read(session)
+        session.pending[0].context.done.wait(20000.0)
+
+    monkeypatch.setattr(Session, "read", read_nothing_while_an_answer_is_due)
     node = Gated(GOOD)
     one = rig(node, settings=PATIENT)
     client = one.client()
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -51,15 +51,17 @@
         one.close()
 
 
-def attack(process, plays):
-    """Plays hostile clients beside a usual one; returns the usual one."""
+def attack(process, play, count):
+    """Plays hostile clients, in a process of their own, beside a usual one; returns the usual one."""
     usual = UsualClient(process.at)
     host.sleep(200)
-    greenlets = [host.spawn(hostile.quietly, *play) for play in plays]
-    host.join(greenlets, 3 * SPAN)
+    attackers = hostile.start(play, process.at, SPAN, count)
+    deadline = host.now() + 4 * SPAN
+    while attackers.poll() is None and host.now() < deadline:
+        host.sleep(20)
+    attackers.kill()
+    attackers.wait()
     usual.stop()
-    for greenlet in greenlets:
-        host.stop(greenlet)
     return usual
 
 
@@ -85,8 +87,7 @@
     one = process(
         *(slow_node(40, value) for _ in range(4)), memory_mb=MEMORY_MB, sockets=SOCKETS, settings=BUSY
     )
-    end = host.now() + SPAN
-    usual = attack(one, [(play, one.at, number, end) for number in range(CLIENTS)])
+    usual = attack(one, play, CLIENTS)
     assert one.alive and one.peak_mb() <= MEMORY_MB
     assert_served(usual)
 
@@ -98,7 +99,7 @@
 )
 def test_others_are_served_while_one_connection_floods(process, play):
     one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=SOCKETS)
-    usual = attack(one, [(play, one.at, host.now() + SPAN)])
+    usual = attack(one, play, 1)
     assert one.alive and one.peak_mb() <= MEMORY_MB
     assert_served(usual)
 
@@ -221,19 +222,8 @@
 
 def test_flood_of_connections_leaves_descriptors_for_nodes(process):
     one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=256)
-    held = []
-
-    def connect_many(at, end):
-        while host.now() < end:
-            hostile.quietly(lambda: held.append(host.connect(at, 500)))
-            if len(held) > 900:
-                held.pop(0).close()
-
-    end = host.now() + SPAN
-    usual = attack(one, [(connect_many, one.at, end)] * 4)
+    usual = attack(one, hostile.open_connections, 4)
     descriptors = len(os.listdir(f"/proc/{one.process.pid}/fd"))
-    for stream in held:
-        stream.close()
     assert one.alive and descriptors <= 256
     assert_served(usual)
 
