An id stays taken while an attempt for it may run

Cause: the id was free as soon as the session ended, while its dispatch went on or was called off, and a dispatch that was called off may run yet. Now the id is free when no dispatch is under way, and where one may have run without its answer reaching the client it is kept until the deadline and the longest time limit beyond it.

--- a/gannetfront/edge/session.py
+++ b/gannetfront/edge/session.py
@@ -404,7 +404,11 @@
 
     def settle(self, held, invocation_id):
         """Nothing is under way for an invocation any more: its id is free once nothing of it can run."""
-        self.clients.ids.free(invocation_id)
+        if held.context.may_have_run:
+            until = held.deadline + max(self.clients.limits)
+            self.clients.ids.retain(invocation_id, until)
+        else:
+            self.clients.ids.free(invocation_id)
 
     # ---- answers ----
 
