With noReturn, the keys of the newest 20,000 answers are remembered

Seen: a process with noReturn grew from 29.3 to 35.8 MB while one client asked 39,024 requests under ever new uids. Cause: each key that was answered was kept for ever. Now the one answered longest ago goes at 20,000, some 3 MB. test_names_of_answered_requests failed before (40,000 kept) and passes. A key that comes back after 20,000 others may return to an earlier build.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -6,7 +6,7 @@
 """
 
 from bisect import bisect_right
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from itertools import accumulate
 from math import exp, log, log2, sqrt
 from statistics import NormalDist
@@ -51,6 +51,7 @@
 SAMPLE_LIFETIME_MS = 6000.0  # older samples of a server no longer describe it
 COUNTING_SPAN_MS = 4000.0  # over which arrivals and timely answers are counted
 SWEEP_PERIOD_MS = 100.0
+MAX_REMEMBERED_KEYS = 20000  # keys that may not return to an earlier build
 
 
 def retry_delay(longest, slo_time, random):
@@ -251,7 +252,7 @@
         self.phase = None
         self.stage_known = False
         self.trial_dispatches = {}  # build -> Window of the operations dispatched to it
-        self.answered_by = {}  # key -> newest build that answered it
+        self.answered_by = OrderedDict()  # key -> newest build that answered it, the newest answer last
         self.arrivals = Window(COUNTING_SPAN_MS, 1000)  # (operation, tenant)
         self.answers = deque(maxlen=1000)  # (time sent, time taken / SLO time)
         self.timely = deque(maxlen=1000)  # times of the answers within the SLO time
@@ -778,7 +779,7 @@
                     None if young else time_taken,
                 )
         if status == SUCCEEDED and self.no_return:
-            self.answered_by[invocation.key] = max(self.answered_by.get(invocation.key, 0), attempt[5])
+            self.remember_answer(invocation.key, attempt[5])
         if closed:
             self.client_gone(invocation_id)
         elif all(other[4] is not None for other in invocation.attempts):
@@ -788,6 +789,13 @@
             if worthless or not self.propose(invocation_id, invocation, False):
                 self.reject(invocation_id, invocation)
 
+    def remember_answer(self, key, build):
+        """Remembers which build answered a key; the key that was answered longest ago is forgotten past the limit."""
+        self.answered_by[key] = max(self.answered_by.get(key, 0), build)
+        self.answered_by.move_to_end(key)
+        if len(self.answered_by) > MAX_REMEMBERED_KEYS:
+            self.answered_by.popitem(last=False)
+
     def record_outcome(self, address, server, operation, unit, status, took):
         """Stores an outcome as evidence on its build and queues it for the judges.
 
