The accept loop stops at the limit on connections and gives way every 16

Seen: told 256 descriptors, a process had 2,466 open while connections were opened at full speed; with 1,024 told, a usual client beside four such openers was answered after 273 ms in the median and 824 at most. Cause: accept went on for as long as the kernel had connections, and the limit was looked at in greenlets that did not run meanwhile; the backlog at a stop was taken whole. Now the loop leaves connections with the kernel while as many are open as the budget allows, and 32 that are being turned away.

--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -139,7 +139,11 @@
                 *([self.signals.run] if self.signals else []),
             )
         ]
-        self.greenlets.append(host.spawn(host.serve, self.listener, self.clients.handle, self.log))
+        # As many as may be open, and those that are being turned away.
+        most = self.budget.max_clients + MAX_TURNED_AWAY
+        self.greenlets.append(
+            host.spawn(host.serve, self.listener, self.clients.handle, self.log, most, True)
+        )
         self.log.info(
             "serving",
             at=self.listener.where,
--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -21,6 +21,8 @@
 
 STANDARD_ERROR = 2  # file descriptor
 READ, WRITE = 1, 2
+ACCEPTS_PER_TURN = 16  # connections
+FULL_WAIT = 2.0  # ms between looks for room for one more connection
 POLLED = {READ: select.POLLIN, WRITE: select.POLLOUT}
 gevent.config.track_greenlet_tree = (
     False  # each spawn would copy its caller's stack for a debugger nobody uses
@@ -494,10 +496,16 @@
             return streams  # none is left, or there is no descriptor for one more
 
 
-def serve(listener, handle, log, most=None):
-    """Accepts until the listener closes, a greenlet a stream. Past `most` streams a new one is closed at once."""
-    held = set()
+def serve(listener, handle, log, most=None, waits=False):
+    """Accepts until the listener closes, a greenlet a stream.
+
+    Past `most` streams a new one is closed at once or, with `waits`, left with the machine until another has ended.
+    """
+    held, turn = set(), 0
     while True:
+        if waits and len(held) >= most:
+            sleep(FULL_WAIT)
+            continue
         try:
             stream = listener.accept()
         except OSError as trouble:
@@ -509,10 +517,13 @@
             return
         if most is not None and len(held) >= most:
             stream.close()
-            continue
-        one = gevent.spawn(handle, stream)
-        held.add(one)
-        one.rawlink(held.discard)
+        else:
+            one = gevent.spawn(handle, stream)
+            held.add(one)
+            one.rawlink(held.discard)
+        turn += 1
+        if turn % ACCEPTS_PER_TURN == 0:
+            sleep(0)  # else a flood of connections keeps all other greenlets waiting
 
 
 class Datagrams(Port):
