A client's close is seen behind bytes that nobody has read

The last look before a dispatch's first byte asked for the next byte of the client's socket, and took unread bytes for a client that waits. It now asks the kernel for the peer's end as well (POLLRDHUP). This matters where a connection is not read for a moment, in a turn of others or during a stop. test_a_close_behind_unread_bytes_is_seen failed before and passes.

--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -388,7 +388,7 @@
 
     def ended(self):
         """True where the peer's end or a break has come, also behind bytes that nobody has read."""
-        return self.peek() == b""
+        return self.peek() == b"" or self.shows(select.POLLRDHUP)
 
     def reset(self):
         """Closes with a reset instead of an orderly end, as a process that dies does."""
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -62,3 +62,18 @@
     host.sleep(20)
     listener.close()
     assert ended == [OSError]
+
+
+def test_a_close_behind_unread_bytes_is_seen():
+    came = []
+    listener = host.Listener("127.0.0.1:0")
+    host.spawn(host.serve, listener, came.append, Log())
+    peer = host.connect(listener.where, 1000)
+    peer.send(b"unread", 1000)
+    host.sleep(20)
+    assert not came[0].ended()
+    peer.close()
+    host.sleep(20)
+    assert came[0].ended() and came[0].recv(9, 100) == b"unread"
+    came[0].close()
+    listener.close()
