After SIGTERM everything is answered 0.1 s before the earliest kill

Seen: a request that was begun before a stop and whole 1.8 s after SIGTERM was still waiting for its node when SIGKILL may come, 3.7 s after SIGTERM. Cause: its time limit was that of its client alone. The longest time limit (3 s where it is longer) and 0.7 s after SIGTERM, less 0.1 s, now bounds each deadline, and ends with an error what is still due then. test_request_that_is_whole_long_after_a_stop failed before and passes.

--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -22,6 +22,10 @@
 ACCEPT_GRACE = 600.0  # ms after SIGTERM in which new connections and requests are still accepted
 ANSWER_LIMIT = 1 << 18  # bytes of a node's answer
 BACKLOG_LIMIT = 300.0  # ms to accept what the kernel has accepted by then
+# SIGKILL comes after SIGTERM no sooner than the longest time limit, counted as LONGEST_COUNTED_LIMIT where it is
+# longer, and KILL_DELAY.
+LONGEST_COUNTED_LIMIT, KILL_DELAY = 3000.0, 700.0  # ms
+KILL_MARGIN = 100.0  # ms before that in which the last answers are written
 STATUS_INTERVAL = 5000.0  # ms between status lines in the log
 
 
@@ -205,6 +209,8 @@
             return
         self.draining = True
         self.log.info("stopping", held=len(self.rounds.held))
+        longest = min(max(self.clients.limits), LONGEST_COUNTED_LIMIT)
+        self.clients.answer_by = host.now() + longest + KILL_DELAY - KILL_MARGIN
         host.sleep(ACCEPT_GRACE)
         self.take_backlog()
         self.listener.close()
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -220,6 +220,22 @@
     assert [count for _, count in answered] == [2] * 5
 
 
+def test_request_that_is_whole_long_after_a_stop_is_answered_before_the_kill(process):
+    settings = deepcopy(SETTINGS)
+    for operation in settings["classes"]:
+        operation["giveUpMs"], operation["aimMs"] = 3000.0, 1000.0
+    one = process(PgNode("silent"), settings=settings)
+    client, request = Client(one.at), hostile.query(hostile.large_insert(1, d=3000))
+    one.signal(signal.SIGTERM)
+    stopped = host.now()
+    host.sleep(300)
+    client.stream.send(request[:20000], 1000)
+    host.sleep(1500)
+    client.stream.send(request[20000:], 1000)
+    answer = client.one(3700 - (host.now() - stopped))
+    assert answer and answer[0] == b"E"
+
+
 def test_flood_of_connections_leaves_descriptors_for_nodes(process):
     one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=256)
     usual = attack(one, hostile.open_connections, 4)
