--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -223,9 +223,9 @@
 def test_request_that_is_whole_long_after_a_stop_is_answered_before_the_kill(process):
     settings = deepcopy(SETTINGS)
     for operation in settings["classes"]:
-        operation["giveUpMs"], operation["aimMs"] = 3000.0, 1000.0
+        operation["giveUpMs"], operation["aimMs"] = 3000.0, 3000.0
     one = process(PgNode("silent"), settings=settings)
-    client, request = Client(one.at), hostile.query(hostile.large_insert(1, d=3000))
+    client, request = Client(one.at), hostile.query(hostile.large_insert(1, d=3000, c="debit"))
     one.signal(signal.SIGTERM)
     stopped = host.now()
     host.sleep(300)
