The time of a request in pieces counts from its last byte again

Seen: a request of 128 KB whose second part came 1.5 s after the first had 1.49 of its 3 s told to its node.

--- a/gannetfront/edge/session.py
+++ b/gannetfront/edge/session.py
@@ -184,6 +184,8 @@
             size = self.size_to_read()
             if size is None:
                 return None
+            if self.unread_since is not None and not self.stream.waiting():
+                self.unread_since = None
             data = self.stream.recv_or(done, size, time_left)
         except host.Timeout:
             return self.on_time_over()
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -236,6 +236,17 @@
     assert answer and answer[0] == b"E"
 
 
+def test_time_of_a_request_counts_from_its_last_byte(process):
+    node = slow_node(0)
+    one = process(node)
+    client, request = Client(one.at), hostile.query(hostile.large_insert(1, d=800))
+    client.stream.send(request[:20000], 1000)
+    host.sleep(600)
+    client.stream.send(request[20000:], 1000)
+    assert client.until(b"Z")[0][0] == b"T"
+    assert int(node.seen[0].split(b",d=")[1].split()[0]) > 500
+
+
 def test_flood_of_connections_leaves_descriptors_for_nodes(process):
     one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=256)
     usual = attack(one, hostile.open_connections, 4)
