Listings draw on the memory budget, raw and decoded; entries that are gone are dropped

The raw size was bounded, the decoded one was not. A listing now reserves what comes before it reads and the most that decoding can take before it decodes; its share is set aside, as a proxy without its list sends to servers that have gone. One that does not fit is dropped and asked for again. Entries of servers that were removed leave the table, and entries beyond the first list are counted.

--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -3,7 +3,9 @@
 
 from .. import host
 from ..interface import GONE, READY
+from ..memory import MemoryBudget, Purpose, Reservation
 from ..wire import BadAnswer, http
+from ..wire.platform import decoded_size
 
 # A change counts as delivered 6 s after the watch became unresponsive, which may be right after its request.
 # By then the watch has timed out (3 + 0.5 s), an unresponsive connection attempt after it has timed out too
@@ -14,14 +16,16 @@
 )
 CONNECT_TIMEOUT = 1000.0  # ms to connect, and to write a request
 MAX_LISTING_SIZE = 4 << 20  # bytes
+READ_SIZE = 16 << 10  # bytes
+SERVER_BYTES = 3 << 10  # of a listed server, here and in the decision module
 MIN_BACKOFF, MAX_BACKOFF = 10.0, 500.0  # ms between failed attempts; a watch is broken by 200
 
 
 class Discovery:
     """The nodes that the discovery service lists, with the addresses at which they listen."""
 
-    def __init__(self, at, listing, publish, pools, jitter, log):
-        """`publish(kind, entries)` passes a listing on to the decision module."""
+    def __init__(self, at, listing, publish, pools, jitter, log, memory=None):
+        """`publish(kind, entries)` passes a listing on to the decision module; `memory` is the MemoryBudget."""
         self.at = at
         self.listing = listing
         self.publish = publish
@@ -30,6 +34,10 @@
         self.log = log
         self.version = 0
         self.entries = {}  # host -> (entry, dial address, start time)
+        memory = memory or MemoryBudget()
+        self.answer_memory = Reservation(memory, Purpose.LISTING)
+        self.entries_memory = Reservation(memory, Purpose.SERVERS)
+        self.entries_at_start = None  # the program's own size counts these
         self.moved = host.Once()
 
     def address(self, name):
@@ -64,12 +72,20 @@
                 self.pools.retire(entry[0])
             self.entries[entry[0]] = entry, dial, start_time
             received.append(entry)
-        if whole:
-            for name in self.entries.keys() - {entry[0] for entry in received}:
-                self.pools.retire(name)
-                del self.entries[name]
+        named = {entry[0] for entry in received}
+        omitted = self.entries.keys() - named if whole else ()
+        for name in [*omitted, *(name for name in named if self.entries[name][0][5] == GONE)]:
+            self.pools.retire(name)
+            del self.entries[name]
+        self.count_entries()
         self.publish(kind or ("whole" if whole else "changes"), tuple(received))
 
+    def count_entries(self):
+        """Counts the memory of the entries that came after the first list."""
+        if self.entries_at_start is None:
+            self.entries_at_start = len(self.entries)
+        self.entries_memory.charge(SERVER_BYTES * max(0, len(self.entries) - self.entries_at_start))
+
     def move(self, at):
         """Switches to a discovery service at another address; an open watch is interrupted."""
         if at != self.at:
@@ -112,9 +128,27 @@
             path += b"?since=%d&timeout_ms=%d" % (self.version, WATCH_TIMEOUT)
         reader = http.AnswerReader(MAX_LISTING_SIZE)
         stream.send(http.request(path, self.at.encode(), [], b"", b"GET"), CONNECT_TIMEOUT)
+        try:
+            self.read_answer(stream, reader, moved)
+            self.reserve(reader.received_size + decoded_size(reader.body))
+            version, is_whole, hosts = self.listing.read(reader.body)
+        finally:
+            self.answer_memory.release()
+        if whole and not is_whole:
+            raise BadAnswer("got changes, but the complete list was requested")
+        if is_whole or hosts:
+            self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
+            self.take(version, is_whole, hosts)
+        self.version = version
+        return reader.reusable
+
+    def read_answer(self, stream, reader, moved):
+        """Reads one answer. Raises BadAnswer where it is not whole, not a success or too large, Timeout where it
+        is late."""
         deadline = host.now() + WATCH_TIMEOUT + RESPONSE_GRACE
         while not reader.whole:
-            data = stream.recv_or(moved, 65536, deadline - host.now())
+            self.reserve(reader.received_size + READ_SIZE)
+            data = stream.recv_or(moved, READ_SIZE, deadline - host.now())
             if data is None:
                 raise host.Timeout()
             if not data:
@@ -122,11 +156,8 @@
             reader.feed(data)
         if reader.status != 200:
             raise BadAnswer(f"status {reader.status}")
-        version, is_whole, hosts = self.listing.read(reader.body)
-        if whole and not is_whole:
-            raise BadAnswer("got changes, but the complete list was requested")
-        if is_whole or hosts:
-            self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
-            self.take(version, is_whole, hosts)
-        self.version = version
-        return reader.reusable
+
+    def reserve(self, size):
+        """Reserves memory for an answer. Raises BadAnswer where there is too little."""
+        if not self.answer_memory.resize(size):
+            raise BadAnswer(f"too little memory for a listing of {size} bytes")
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -65,6 +65,7 @@
             self.pools,
             jitter,
             log,
+            start.memory,
         )
         self.api = ReleaseApi(
             start.release_api,
--- a/gannetfront/memory.py
+++ b/gannetfront/memory.py
@@ -1,7 +1,8 @@
 """Memory budget of one process: who may hold how many bytes for somebody else. Decisions only, without I/O.
 
 Whoever is about to hold bytes for a client, a server or the platform reserves them first. Each purpose has a share of
-the budget, so that one kind of holder cannot take what the others need; invocations may use all that is left.
+the budget, so that one kind of holder cannot take what the others need; invocations may use all that is left. The
+share of listings is set aside: a proxy that cannot read its list sends to servers that have gone.
 """
 
 from enum import Enum
@@ -10,6 +11,7 @@
 HEADROOM = 4 * MIB  # for copies in the making and what is too small to be counted
 USABLE_SHARE = 0.8  # of the rest; the allocator needs some for what lies between reserved bytes
 MIN_BUDGET = 1 * MIB  # the program works, slowly, where its limit leaves less
+MIN_LISTING = MIB // 2  # for a listing, wherever that leaves the others
 UNLIMITED = 1 << 62
 
 
@@ -20,7 +22,8 @@
     REQUEST_IN_PART = ("request in part", 0.15)
     REQUEST_CONTENT = ("request content", 0.15)
     ANSWER = ("answer", 0.2)
-    LISTING = ("listing", 0.1)
+    LISTING = ("listing", 0.15)
+    SERVERS = ("servers", 1.0)
     INVOCATION = ("invocation", 1.0)
 
     def __init__(self, label, share):
@@ -46,18 +49,29 @@
 
     def share(self, purpose):
         """The most bytes that a purpose may use."""
-        return int(self.size * purpose.share)
+        least = MIN_LISTING if purpose is Purpose.LISTING else 0
+        return max(least, int(self.size * purpose.share))
 
     def reserve(self, size, purpose):
         """Reserves `size` bytes; returns False, and reserves none, where the bound is met."""
-        used_for = self.used_for[purpose] + size
-        if self.used + size > self.size or used_for > self.share(purpose):
+        if not self.has_room(size, purpose):
             self.refusals[purpose] += 1
             return False
+        self.charge(size, purpose)
+        return True
+
+    def has_room(self, size, purpose):
+        """Whether `size` more bytes are within the bounds."""
+        if self.used_for[purpose] + size > self.share(purpose):
+            return False
+        for_others = self.size - self.share(Purpose.LISTING) - self.used + self.used_for[Purpose.LISTING]
+        return purpose is Purpose.LISTING or size <= for_others
+
+    def charge(self, size, purpose):
+        """Counts `size` bytes that are used whatever the bounds say: others get less."""
         self.used += size
-        self.used_for[purpose] = used_for
+        self.used_for[purpose] += size
         self.peak = max(self.peak, self.used)
-        return True
 
     def release(self, size, purpose):
         """Gives back `size` reserved bytes."""
@@ -99,6 +113,11 @@
         self.size = size
         return True
 
+    def charge(self, size):
+        """Changes the reservation to `size` bytes whatever the bounds say."""
+        self.budget.charge(size - self.size, self.purpose)
+        self.size = size
+
     def grow(self, size):
         """Adds `size` bytes; returns False, and changes nothing, where the bound is met."""
         return self.resize(self.size + size)
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -20,6 +20,7 @@
 REFUSALS = {"limit": FULL, "moot": MOOT, "error": ERROR, "malformed": ERROR}
 LINE_LIMIT = 4096  # bytes of a line of the event stream
 MOST_BUILD = 65535
+JSON_VALUE_BYTES = 64  # of a decoded value or container, on average at most
 
 
 def whole_number(text, what, most=1 << 31):
@@ -183,6 +184,12 @@
 # ---- discovery ----
 
 
+def decoded_size(body):
+    """The most bytes that decoding this JSON takes, at JSON_VALUE_BYTES for each value and name."""
+    separators = sum(map(body.count, (b",", b":", b"[", b"{")))
+    return len(body) + JSON_VALUE_BYTES * separators
+
+
 class Listing:
     """Reads discovery's answers by the names of zones and kinds that the settings have."""
 
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -8,11 +8,11 @@
 import pytest
 
 import hostile_clients as hostile
-from edge_process import EdgeProcess, UsualClient, slow_node
+from edge_process import EdgeProcess, UsualClient, listed, slow_node
 from edge_rig import SETTINGS, Client, EdgeRig, PgNode, said, select
 from gannetfront import host
 from gannetfront.interface import SUCCEEDED
-from gannetfront.wire import pg
+from gannetfront.wire import http, pg
 from helpers import BalancerHarness
 
 MEMORY_MB, SOCKETS = 64, 1024
@@ -140,6 +140,37 @@
     assert len(harness.dispatches()) == NAMES and len(harness.balancer.answered_by) <= NAMES / 2
 
 
+def test_names_of_servers_that_are_gone_are_forgotten_in_the_end():
+    harness = BalancerHarness({})
+    for number in range(NAMES // 4):
+        for state in ("ready", "gone"):
+            harness.run(f"server s{number} state={state}")
+        harness.now += 1.0
+        harness.flush()
+    harness.run("server a")
+    harness.run("take 1 look")
+    harness.flush()
+    assert len(harness.balancer.servers) <= NAMES / 8 and harness.dispatches()
+
+
+@pytest.mark.parametrize("piece", [b"[]", b"{}", b'"ab"', b"1.5"])
+def test_listing_of_very_many_short_values_does_not_pass_the_memory_limit(process, piece):
+    one = process(slow_node(), memory_mb=MEMORY_MB)
+    body = (
+        b'{"seq":9,"whole":true,"hosts":['
+        + b",".join([piece] * ((4 << 20) // (len(piece) + 1) - 200))
+        + b"]}"
+    )
+    one.platform.spoil[b"/discovery/hosts"] = [http.answer(200, [], body)] * 5
+    one.signal(signal.SIGHUP)
+    one.platform.change(listed(0, one.nodes[0]) | {"share": 2.0})
+    deadline = host.now() + 10000
+    while one.platform.spoil[b"/discovery/hosts"] and host.now() < deadline:
+        host.sleep(50)
+    assert one.alive and one.peak_mb() <= MEMORY_MB
+    assert Client(one.at).ask(select("01")) == b"\\x9f03"
+
+
 def runs_of(node, ident):
     return sum(b"id=" + ident.encode() + b"," in sql for sql in node.seen)
 
