The decision module forgets servers that are gone past the newest 4,000

Each name that was ever listed stayed in its table: 10,000 of 10,000 in the test. Servers that are gone are now dropped past 4,000, the oldest first, unless a dispatch is out to them or an open invocation refers to them. No change below that number.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -51,6 +51,7 @@
 SAMPLE_LIFETIME_MS = 6000.0  # older samples of a server no longer describe it
 COUNTING_SPAN_MS = 4000.0  # over which arrivals and timely answers are counted
 SWEEP_PERIOD_MS = 100.0
+MAX_GONE_SERVERS = 4000  # remembered after they have ended
 MAX_REMEMBERED_KEYS = 20000  # keys that may not return to an earlier build
 
 
@@ -332,9 +333,22 @@
         if kind != "changes":
             for address in self.servers.keys() - {entry[0] for entry in entries}:
                 self.servers[address].state = GONE  # a full list omits only servers that have ended
+        if len(self.servers) > MAX_GONE_SERVERS:
+            self.forget_gone_servers()
         # Rebuilt when first needed: most updates reach proxies that have nothing to send.
         self.pools_due = 0.0
 
+    def forget_gone_servers(self):
+        """Drops the servers that are gone past the newest MAX_GONE_SERVERS, unless something open refers to them."""
+        in_use = {attempt[0] for invocation in self.invocations.values() for attempt in invocation.attempts}
+        gone = [
+            address
+            for address, server in self.servers.items()
+            if server.state == GONE and not server.in_flight and address not in in_use
+        ]
+        for address in gone[:-MAX_GONE_SERVERS]:
+            del self.servers[address]
+
     def stage_told(self, answer, stage, since, cap, status, version, phase):
         """The rollout's stage, either announced or as the answer to a vote of this balancer."""
         if answer and status != SUCCEEDED:
@@ -740,7 +754,7 @@
 
     def outcome(self, invocation_id, seq, address, status, time_taken, closed, load):
         """The end of a dispatch. `closed` means that the client has its answer; else it may be retried."""
-        # A server that was listed once stays in self.servers.
+        # A server that a dispatch is out to stays in self.servers.
         server = self.servers[address]
         invocation = self.invocations.get(invocation_id)
         sent_at, server.load = server.in_flight.pop((invocation_id, seq), None), load or server.load
