Heads of more than 128 fields are refused, in requests and answers

Found in looking for the same mistake on the HTTP front: 2,000 fields of one byte pass a head limit of 64 KiB and are kept as 2,000 pairs, some thirty times their size, for each connection. The 129th field is answered 431; an answer with as many is spoilt. The HTTP front also no longer keeps what it read last in a variable while a connection waits (up to 64 KB each).

--- a/gannetfront/proxy/clients.py
+++ b/gannetfront/proxy/clients.py
@@ -91,6 +91,7 @@
                 if not reader.begun:
                     arrived = host.now()
                 bad_request = self.feed(reader, data)
+                data = b""  # not kept while the connection waits
                 self.busy.add(stream)
                 if reader.wants_continue and not bad_request:
                     reader.wants_continue = False
@@ -202,3 +203,4 @@
                 reader.ahead += data
             else:
                 bad_request = self.feed(reader, data)
+            data = b""  # not kept while the answer is awaited
--- a/gannetfront/wire/http.py
+++ b/gannetfront/wire/http.py
@@ -25,6 +25,9 @@
 }
 
 
+MAX_FIELDS = 128  # of a head; a short field takes far more memory than it has bytes
+
+
 class BadRequest(Exception):
     """A rejected request: it is answered with `status` and the text `why`, then the connection is closed."""
 
@@ -106,6 +109,8 @@
 
     def on_header(self, name, value):
         self.count_head(len(name) + len(value) + 4)
+        if len(self.headers) >= MAX_FIELDS:
+            self.fail(431, f"more than {MAX_FIELDS} header fields")
         self.headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self):
@@ -199,6 +204,8 @@
 
     def on_header(self, name, value):
         if not self.whole:
+            if len(self.received_headers) >= MAX_FIELDS:
+                raise BadAnswer(f"more than {MAX_FIELDS} header fields")
             self.received_headers.append((name.lower(), value.strip()))
 
     def on_headers_complete(self):
--- a/tests/edge_process.py
+++ b/tests/edge_process.py
@@ -28,10 +28,13 @@
         self.limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
         self.write_configuration(settings)
         self.log = open(self.log_path, "wb")
+        self.stderr = self.log if stderr is None else stderr
+        self.start()
+
+    def start(self):
+        """Starts the process, also again after its end, and waits until it serves."""
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "gannetfront.edge"],
-            env={"EDGE_CONFIG": self.path} | {k: v for k, v in os.environ.items() if k.startswith("MALLOC_")},
-            stderr=self.log if stderr is None else stderr,
+            [sys.executable, "-m", "gannetfront.edge"], env={"EDGE_CONFIG": self.path}, stderr=self.stderr
         )
         self.wait_until_serving()
 
@@ -72,6 +75,10 @@
             kilobytes = next(line.split()[1] for line in status if line.startswith("VmHWM"))
         return int(kilobytes) / 1024
 
+    def descriptors(self):
+        """How many file descriptors are open."""
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def close(self):
         if self.alive:
             self.signal(signal.SIGKILL)
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -155,15 +155,26 @@
         pass
 
 
-def play_in_this_process(name, at, span, count):
+def again_and_again(play, at, number, end):
+    """Plays a client that comes back when the proxy, or its process, ends its connection."""
+    while host.now() < end:
+        quietly(play, at, number, end)
+        host.sleep(100)
+
+
+def play_in_this_process(name, at, span, count, returns):
     end = host.now() + float(span)
-    greenlets = [host.spawn(quietly, globals()[name], at, number, end) for number in range(int(count))]
+    how = again_and_again if returns == "returns" else quietly
+    greenlets = [host.spawn(how, globals()[name], at, number, end) for number in range(int(count))]
     host.join(greenlets, float(span) + 5000.0)
 
 
-def start(play, at, span, count):
-    """Starts a process that plays `count` clients of this kind for `span` ms."""
-    return subprocess.Popen([sys.executable, __file__, play.__name__, at, str(span), str(count)], cwd=ROOT)
+def start(play, at, span, count, returns=False):
+    """Starts a process that plays `count` clients of this kind for `span` ms; with `returns` they come back."""
+    how = "returns" if returns else "once"
+    return subprocess.Popen(
+        [sys.executable, __file__, play.__name__, at, str(span), str(count), how], cwd=ROOT
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -12,7 +12,7 @@
 from edge_rig import SETTINGS, Client, EdgeRig, PgNode, said, select
 from gannetfront import host
 from gannetfront.interface import SUCCEEDED
-from gannetfront.wire import http, pg
+from gannetfront.wire import BadAnswer, http, pg
 from helpers import BalancerHarness
 
 MEMORY_MB, SOCKETS = 64, 1024
@@ -171,6 +171,16 @@
     assert Client(one.at).ask(select("01")) == b"\\x9f03"
 
 
+def test_heads_of_very_many_short_fields_are_refused():
+    fields = b"".join(b"%x:\r\n" % name for name in range(2000))
+    request = http.RequestReader(65536, 65536)
+    with pytest.raises(http.BadRequest) as refused:
+        request.feed(b"POST /look HTTP/1.1\r\nhost: a\r\n" + fields + b"\r\n")
+    assert refused.value.status == 431 and len(request.headers) < 200
+    with pytest.raises(BadAnswer):
+        http.AnswerReader(1 << 18).feed(b"HTTP/1.1 200 OK\r\n" + fields + b"content-length: 0\r\n\r\n")
+
+
 def runs_of(node, ident):
     return sum(b"id=" + ident.encode() + b"," in sql for sql in node.seen)
 
@@ -281,8 +291,7 @@
 def test_flood_of_connections_leaves_descriptors_for_nodes(process):
     one = process(slow_node(), slow_node(), memory_mb=MEMORY_MB, sockets=256)
     usual = attack(one, hostile.open_connections, 4)
-    descriptors = len(os.listdir(f"/proc/{one.process.pid}/fd"))
-    assert one.alive and descriptors <= 256
+    assert one.alive and one.descriptors() <= 256
     assert_served(usual)
 
 
