An idle connection gives way to another only after 0.1 s

Cause: at the limit the newest connection was often the only idle one, and was closed between its startup and its first request. Now an idle connection is closed for another only after 0.1 s; until then the new one is refused with 53300. Each eviction is counted with its state.

--- a/gannetfront/edge/budget.py
+++ b/gannetfront/edge/budget.py
@@ -6,6 +6,7 @@
 
 from itertools import islice
 
+from .. import host
 from ..memory import MemoryBudget, Purpose
 
 SPARE = 48  # descriptors for the program, links and peers, and for the time between a close and the next open
@@ -28,6 +29,7 @@
 WRITE_TIMEOUT = 3000.0  # ms that a client may leave its answer unread
 OVERDUE_GRACE = 20.0  # ms past the deadline until an undecided invocation is ended; the platform allows more
 MAX_CONSECUTIVE_ERRORS = 3  # consecutive malformed statements after which a connection is closed
+MIN_IDLE_AGE = 100.0  # ms after which an idle connection may be closed to make room for another
 EVICTION_CANDIDATES = 16  # connections examined for one that can be closed, the longest idle first
 MAX_LINGERING = 16  # connections, out of SPARE, on which data after the final answer is read and discarded
 MAX_TURNED_AWAY = 32  # connections past the limit, out of SPARE, that are open until they have heard why
@@ -36,6 +38,7 @@
 # States of a client's connection: no data received yet; between requests; startup message partly received;
 # busy, which is with an answer due or a request partly received.
 UNUSED, IDLE, STARTING, BUSY = range(4)
+STATE_NAMES = "unused", "idle", "starting", "busy"
 
 
 class Budget:
@@ -47,7 +50,9 @@
         self.max_clients, self.max_node_connections = available // 2, available - available // 2
         self.memory = memory or MemoryBudget()
         self.clients = 0
-        self.states = ({}, {}, {}, {})  # per state: its streams, the longest in the state first
+        # Per state: its streams with the time since when, the longest in the state first.
+        self.states = ({}, {}, {}, {})
+        self.on_eviction = lambda state: None  # replaced by the owner: a connection in this state was closed
         self.make_room = lambda: False  # replaced by the owner: ends a busy connection that may be ended
 
     def count_program(self, resident):
@@ -62,9 +67,9 @@
         for it."""
         self.clients += 1
         while not self.has_room():
-            if not self.evict_idle((UNUSED, IDLE, STARTING), 1) and not self.make_room():
+            if not self.evict_idle((UNUSED, IDLE, STARTING), 1, MIN_IDLE_AGE) and not self.make_room():
                 return False
-        self.states[UNUSED][stream] = True
+        self.states[UNUSED][stream] = host.now()
         return True
 
     def has_room(self):
@@ -74,16 +79,19 @@
             return False
         return self.memory.reserve(CONNECTION_BYTES, Purpose.CONNECTION)
 
-    def evict_idle(self, states, limit=None):
-        """Closes connections in these states, in their order, at most `limit` if given. Returns how many were
-        closed."""
-        count = 0
+    def evict_idle(self, states, limit=None, least_idle=0.0):
+        """Closes connections in these states, in their order, at most `limit` if given, and idle ones only after
+        `least_idle` ms: the next request may be on its way. Returns how many were closed."""
+        count, now = 0, host.now()
         for state in states:
-            for stream in list(islice(self.states[state], limit and EVICTION_CANDIDATES)):
+            for stream, since in list(islice(self.states[state].items(), limit and EVICTION_CANDIDATES)):
+                if state == IDLE and now - since < least_idle:
+                    break
                 # A connection with a request that has arrived but is not read yet is not idle.
                 if not stream.waiting():
                     self.forget(stream)
                     stream.close()
+                    self.on_eviction(state)
                     count += 1
                     if count == limit:
                         return count
@@ -92,11 +100,11 @@
     def mark(self, stream, state):
         """Records the state of a connection that was entered and not evicted."""
         if stream not in self.states[state] and self.remove(stream):
-            self.states[state][stream] = True
+            self.states[state][stream] = host.now()
 
     def remove(self, stream):
         """Removes a connection from its state; returns whether it was in one."""
-        return any([streams.pop(stream, False) for streams in self.states])
+        return any([streams.pop(stream, None) is not None for streams in self.states])
 
     def forget(self, stream):
         """A connection does not count any more: what was reserved for it is given back."""
--- a/gannetfront/edge/clients.py
+++ b/gannetfront/edge/clients.py
@@ -9,6 +9,7 @@
     LINGER_TIMEOUT,
     MAX_LINGERING,
     MIN_SHED_AGE,
+    STATE_NAMES,
     TURN_PAUSE,
 )
 from .open_ids import OpenIds
@@ -31,6 +32,7 @@
         self.ids = OpenIds(self.memory)
         self.requests_in_part = {}  # session with a request in part -> ms since when, the oldest first
         budget.make_room = self.make_room_for_connection
+        budget.on_eviction = lambda state: events.record("connection evicted", STATE_NAMES[state])
         self.turns = host.Turnstile()
         self.bulk_turns = host.Turnstile()
         self.bulk_reads = 0
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -9,7 +9,7 @@
 
 import hostile_clients as hostile
 from edge_process import EdgeProcess, UsualClient, listed, slow_node
-from edge_rig import SETTINGS, Client, EdgeRig, PgNode, said, select
+from edge_rig import SETTINGS, Client, EdgeRig, PgNode, said, select, verdict
 from gannetfront import host
 from gannetfront.interface import SUCCEEDED
 from gannetfront.wire import BadAnswer, http, pg
@@ -104,7 +104,8 @@
     assert_served(usual)
 
 
-def test_work_of_one_connection_in_a_turn_is_bounded(rig, monkeypatch):
+@pytest.mark.parametrize("connections, bound", [(1, 64), (40, 160)])
+def test_work_of_one_connection_in_a_turn_is_bounded(rig, monkeypatch, connections, bound):
     one = rig(PgNode())
     handled, most = [0], [0]
     take = pg.ClientReader.take
@@ -119,12 +120,24 @@
             handled[0] = 0
             host.sleep(0)
 
+    clients = [one.client() for _ in range(connections)]
     monkeypatch.setattr(pg.ClientReader, "take", counted)
-    client, turns = one.client(), host.spawn(turn)
-    client.stream.send(hostile.query(b"") * 5000, 1000)
-    got = [client.until(b"Z") for _ in range(5000)]
+    turns, messages = host.spawn(turn), 5000 // connections
+    for client in clients:
+        client.stream.send(hostile.query(b"") * messages, 1000)
+    got = [client.until(b"Z") for client in clients for _ in range(messages)]
     host.stop(turns)
-    assert None not in got[-1] and most[0] <= 64
+    assert None not in got[-1] and most[0] <= bound
+
+
+def test_connection_whose_next_request_is_on_its_way_does_not_give_way(rig):
+    one = rig(PgNode(), sockets=64)
+    clients = [one.client() for _ in range(one.edge.budget.max_clients)]
+    refused = Client(one.at, start=False)
+    assert verdict(refused.until(b"none")) == "53300"
+    assert [client.ask(select(f"0{n}")) for n, client in enumerate(clients)] == [b"\\x9f03"] * len(clients)
+    host.sleep(150)
+    assert one.client().ask(select("0a")) == b"\\x9f03"
 
 
 def test_names_of_answered_requests_are_forgotten_in_the_end():
