Pipelined messages past the second wait their connection's turn

Cause: 16 messages of each connection were handled as they came, 300 times 16 in one pass of the loop, while others lay unread and unstamped. Two are now handled as they come, what a startup and a query need; more wait for the connection's turn, one at a time.

--- a/gannetfront/edge/session.py
+++ b/gannetfront/edge/session.py
@@ -13,6 +13,7 @@
 from .budget import (
     BULK_READ,
     BUSY,
+    FREE_MESSAGES,
     MAX_READ,
     IDLE,
     IDLE_TIMEOUT,
@@ -310,8 +311,9 @@
 
     def handle_messages(self):
         """Handles some of the complete messages among the bytes read, up to MAX_PENDING waiting answers."""
+        most = MESSAGES_PER_TURN if self.has_backlog else FREE_MESSAGES
         self.has_backlog = False
-        for _ in range(MESSAGES_PER_TURN):
+        for _ in range(most):
             if self.final_answer_queued or len(self.pending) >= MAX_PENDING:
                 return
             try:
