A full proxy takes its backlog at a stop instead of ending with status 1

Traced by its standard error: TypeError in take_backlog. The test that a failing signal handler ends the process fails still and is on the list.

--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -493,7 +493,8 @@
             while len(streams) < most:
                 streams.append(Stream(self.sock.accept()[0]))
         except OSError:
-            return streams  # none is left, or there is no descriptor for one more
+            pass  # none is left, or there is no descriptor for one more
+        return streams
 
 
 def serve(listener, handle, log, most=None, waits=False):
--- a/tests/edge_process.py
+++ b/tests/edge_process.py
@@ -75,6 +75,11 @@
             kilobytes = next(line.split()[1] for line in status if line.startswith("VmHWM"))
         return int(kilobytes) / 1024
 
+    def traceback(self):
+        """The end of what the process wrote besides log lines."""
+        with open(self.log_path) as log:
+            return "".join(line for line in log if not line.startswith("{"))[-1500:]
+
     def descriptors(self):
         """How many file descriptors are open."""
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -259,6 +259,7 @@
             self.process.signal(signal.SIGKILL)
         elif self.process.process.returncode != 0 or stopped_at is None:
             self.problems.append(f"the process ended by itself: {self.process.process.returncode}")
+            self.problems.append(self.process.traceback())
         self.kills.append((stopped_at, host.now()))
         self.process.process.wait()
         self.admitted = False
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,5 +1,7 @@
 """The seam: waits that begin when they begin."""
 
+import subprocess
+import sys
 import time
 
 from gannetfront import host
@@ -77,3 +79,25 @@
     assert came[0].ended() and came[0].recv(9, 100) == b"unread"
     came[0].close()
     listener.close()
+
+
+def test_a_backlog_is_taken_in_pieces():
+    listener = host.Listener("127.0.0.1:0")
+    peers = [host.connect(listener.where, 1000) for _ in range(3)]
+    taken = [listener.backlog(most) for most in (0, 2, 9)]
+    assert [len(streams) for streams in taken] == [0, 2, 1]
+    for stream in [*peers, *(stream for streams in taken for stream in streams), listener]:
+        stream.close()
+
+
+def test_a_signal_whose_handling_fails_does_not_end_the_process():
+    program = (
+        "import os, signal\n"
+        "from gannetfront import host\n"
+        "host.on_signal(('SIGHUP',), lambda: 1 / 0)\n"
+        "os.kill(os.getpid(), signal.SIGHUP)\n"
+        "host.sleep(100)\n"
+        "print('runs on')\n"
+    )
+    ran = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, timeout=60)
+    assert ran.stdout == "runs on\n" and "ZeroDivisionError" in ran.stderr
