--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -126,8 +126,9 @@
 
 
 def on_signal(names, call):
+    """Has `call` made in a greenlet of its own at these signals: one that fails does not end the process."""
     for name in names:
-        gevent.signal_handler(getattr(signals, name), call)
+        gevent.signal_handler(getattr(signals, name), gevent.spawn, call)
 
 
 class Apart:
