--- a/gannetfront/memory.py
+++ b/gannetfront/memory.py
@@ -20,7 +20,7 @@
 
     CONNECTION = ("connection", 0.3)
     REQUEST_IN_PART = ("request in part", 0.15)
-    REQUEST_CONTENT = ("request content", 0.15)
+    REQUEST_CONTENT = ("request content", 0.3)
     ANSWER = ("answer", 0.2)
     LISTING = ("listing", 0.15)
     SERVERS = ("servers", 1.0)
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -9,7 +9,7 @@
 
 import hostile_clients as hostile
 from edge_process import EdgeProcess, UsualClient, listed, slow_node
-from edge_rig import SETTINGS, Client, EdgeRig, PgNode, said, select, verdict
+from edge_rig import SETTINGS, Client, EdgeRig, PgNode, row, said, select, verdict
 from gannetfront import host
 from gannetfront.interface import SUCCEEDED
 from gannetfront.wire import BadAnswer, http, pg
@@ -184,6 +184,60 @@
     assert Client(one.at).ask(select("01")) == b"\\x9f03"
 
 
+class TricklingNode(PgNode):
+    """A node that answers each statement with the pieces of `pieces()`, `wait` ms apart."""
+
+    def __init__(self, pieces, wait):
+        self.pieces, self.wait = pieces, wait
+        super().__init__()
+
+    def handle(self, stream):
+        self.streams.append(stream)
+        try:
+            for _ in self.requests(stream):
+                for piece in self.pieces():
+                    stream.send(piece, 3000)
+                    host.sleep(self.wait)
+        except (OSError, host.Timeout):
+            pass
+        finally:
+            stream.close()
+
+
+def ever_new_parameters():
+    for first in range(0, 40000, 200):
+        yield b"".join(pg.message(b"S", b"%x\0\0" % name) for name in range(first, first + 200))
+
+
+def large_value():
+    answer = row(b"x" * 60000)
+    return [answer[offset : offset + 3000] for offset in range(0, len(answer), 3000)]
+
+
+def value_without_end():
+    yield row(b"x")[:40] + b"D" + (3 << 30).to_bytes(4, "big") + b"\0\1"
+    for _ in range(100):
+        yield b"x" * 65536
+
+
+@pytest.mark.parametrize(
+    "pieces, wait",
+    [(ever_new_parameters, 2), (large_value, 30), (value_without_end, 0)],
+    ids=["parameters", "slow", "endless"],
+)
+def test_memory_limit_holds_with_nodes_that_write_much_or_slowly(process, pieces, wait):
+    nodes = [TricklingNode(pieces, wait) for _ in range(3)] + [slow_node(20) for _ in range(2)]
+    one = process(*nodes, memory_mb=MEMORY_MB, settings=BUSY)
+    clients = [UsualClient(one.at, prefix=f"ca{number:03x}") for number in range(60)]
+    host.sleep(SPAN)
+    for client in clients:
+        client.running = False
+    for client in clients:
+        client.stop()
+    assert one.alive and one.peak_mb() <= MEMORY_MB
+    assert [late for client in clients for late in client.late_or_lost()] == []
+
+
 def test_heads_of_very_many_short_fields_are_refused():
     fields = b"".join(b"%x:\r\n" % name for name in range(2000))
     request = http.RequestReader(65536, 65536)
