A flood of datagrams leaves time for others; tests at the least memory

Found in looking for the same mistake: a datagram that was there was read without giving way, so that a flood kept all other greenlets waiting. Every 32nd now gives way. The test failed before (200 in one turn) and passes.

--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -22,6 +22,7 @@
 STANDARD_ERROR = 2  # file descriptor
 READ, WRITE = 1, 2
 ACCEPTS_PER_TURN = 16  # connections
+DATAGRAMS_PER_TURN = 32
 FULL_WAIT = 2.0  # ms between looks for room for one more connection
 POLLED = {READ: select.POLLIN, WRITE: select.POLLOUT}
 gevent.config.track_greenlet_tree = (
@@ -535,6 +536,7 @@
         super().__init__(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
         self.sock.bind(address(at))
         self.where = "%s:%d" % self.sock.getsockname()[:2]
+        self.received = 0
 
     def send(self, to, data):
         try:
@@ -547,6 +549,9 @@
         while True:
             try:
                 data, who = self.sock.recvfrom(size)
+                self.received += 1
+                if self.received % DATAGRAMS_PER_TURN == 0:
+                    sleep(0)  # else a flood keeps all other greenlets waiting
                 return data, "%s:%d" % who[:2]
             except ConnectionError:
                 continue  # an earlier datagram met a closed port: that is loss, not an end
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,5 +1,6 @@
 """The seam: waits that begin when they begin."""
 
+import socket
 import subprocess
 import sys
 import time
@@ -101,3 +102,28 @@
     )
     ran = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, timeout=60)
     assert ran.stdout == "runs on\n" and "ZeroDivisionError" in ran.stderr
+
+
+def test_a_flood_of_datagrams_leaves_time_for_others():
+    port, sender = host.Datagrams("127.0.0.1:0"), host.Datagrams("127.0.0.1:0")
+    port.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+    for _ in range(200):
+        sender.send(port.where, b"x")
+    most, since_turn = [0], [0]
+
+    def receive():
+        while port.recv(64):
+            since_turn[0] += 1
+            most[0] = max(most[0], since_turn[0])
+
+    def turn():
+        while True:
+            since_turn[0] = 0
+            host.sleep(0)
+
+    greenlets = [host.spawn(receive), host.spawn(turn)]
+    host.sleep(50)
+    port.close()
+    host.join(greenlets[:1], 1000)
+    host.stop(greenlets[1])
+    assert 0 < most[0] <= 64
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -15,7 +15,7 @@
 from gannetfront.wire import BadAnswer, http, pg
 from helpers import BalancerHarness
 
-MEMORY_MB, SOCKETS = 64, 1024
+MEMORY_MB, LEAST_MEMORY_MB, SOCKETS = 64, 32, 1024
 CLIENTS = 480  # hostile ones at once
 SPAN = 3000.0  # ms of an attack
 SERVED_AT_LEAST = 0.5  # of what usual clients ask, as on any day of the platform
@@ -92,6 +92,20 @@
     assert_served(usual)
 
 
+@pytest.mark.parametrize(
+    "play",
+    [hostile.half_a_large_request, hostile.many_large_requests_at_once, hostile.answers_left_unread],
+    ids=lambda play: play.__name__,
+)
+def test_least_memory_of_the_platform_holds_with_hundreds_of_clients(process, play):
+    value = b"x" * 60000 if play is hostile.answers_left_unread else b"\\x9f03"
+    nodes = [slow_node(40, value) for _ in range(4)]
+    one = process(*nodes, memory_mb=LEAST_MEMORY_MB, sockets=SOCKETS, settings=BUSY)
+    usual = attack(one, play, CLIENTS)
+    assert one.alive and one.peak_mb() <= LEAST_MEMORY_MB
+    assert usual.late_or_lost() == []
+
+
 @pytest.mark.parametrize(
     "play",
     [hostile.flood_of_empty_queries, hostile.flood_of_unsound_requests, hostile.flood_under_new_names],
