--- a/gannetfront/memory.py
+++ b/gannetfront/memory.py
@@ -30,6 +30,8 @@
         self.label = label
         self.share = share
 
+    __hash__ = object.__hash__  # members are unique; the hash of their name is slower
+
 
 class MemoryBudget:
     """Counts reserved bytes against a bound, in all and for each purpose."""
@@ -37,7 +39,7 @@
     def __init__(self, limit=UNLIMITED):
         """`limit` is what the process may use, in bytes; count_program() says how much of it is taken."""
         self.limit = limit
-        self.size = limit
+        self.set_size(limit)
         self.used = 0
         self.peak = 0
         self.used_for = dict.fromkeys(Purpose, 0)
@@ -45,12 +47,17 @@
 
     def count_program(self, resident):
         """Leaves out of the budget what the process uses at its start, in bytes, and the headroom."""
-        self.size = max(MIN_BUDGET, int(USABLE_SHARE * (self.limit - resident - HEADROOM)))
+        self.set_size(max(MIN_BUDGET, int(USABLE_SHARE * (self.limit - resident - HEADROOM))))
+
+    def set_size(self, size):
+        """Sets the bound in bytes, and the most that each purpose may use."""
+        self.size = size
+        self.shares = {purpose: int(size * purpose.share) for purpose in Purpose}
+        self.shares[Purpose.LISTING] = max(MIN_LISTING, self.shares[Purpose.LISTING])
 
     def share(self, purpose):
         """The most bytes that a purpose may use."""
-        least = MIN_LISTING if purpose is Purpose.LISTING else 0
-        return max(least, int(self.size * purpose.share))
+        return self.shares[purpose]
 
     def reserve(self, size, purpose):
         """Reserves `size` bytes; returns False, and reserves none, where the bound is met."""
@@ -62,9 +69,9 @@
 
     def has_room(self, size, purpose):
         """Whether `size` more bytes are within the bounds."""
-        if self.used_for[purpose] + size > self.share(purpose):
+        if self.used_for[purpose] + size > self.shares[purpose]:
             return False
-        for_others = self.size - self.share(Purpose.LISTING) - self.used + self.used_for[Purpose.LISTING]
+        for_others = self.size - self.shares[Purpose.LISTING] - self.used + self.used_for[Purpose.LISTING]
         return purpose is Purpose.LISTING or size <= for_others
 
     def charge(self, size, purpose):
@@ -105,6 +112,8 @@
 
     def resize(self, size):
         """Changes the reservation to `size` bytes; returns False, and changes nothing, where the bound is met."""
+        if size == self.size:
+            return True
         if size > self.size:
             if not self.budget.reserve(size - self.size, self.purpose):
                 return False
