Whole messages that wait are not ended as one that is not finished

Found in reading this series over: behind 64 waiting answers the time of a message in part ran for messages that were whole and only waited; 2 s later the connection ended with 57014 and the rest of its commands had no answer. The time now runs only where the reader has asked for more.

--- a/gannetfront/edge/session.py
+++ b/gannetfront/edge/session.py
@@ -315,12 +315,12 @@
         self.has_backlog = False
         for _ in range(most):
             if self.final_answer_queued or len(self.pending) >= MAX_PENDING:
+                self.begun_at = None  # what waits may be whole
                 return
             try:
                 message = self.reader.take()
                 if message is None:
-                    if not self.reader.begun:
-                        self.begun_at = None
+                    self.begun_at = (self.begun_at or self.read_at) if self.reader.begun else None
                     return
                 self.handle(message)
             except pg.BadMessage as error:
@@ -333,7 +333,7 @@
         kind = message[0]
         self.clients.budget.mark(self.stream, BUSY)
         self.clients.requests_in_part.pop(self, None)
-        self.begun_at = self.read_at if self.reader.begun else None
+        self.begun_at = None
         if kind == "plain":
             self.pending.append(pg.PLAIN)
         elif kind == "start":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -248,6 +248,15 @@
     assert [verdict(got[0]), verdict(got[-1])] == [b"value"] * 2
 
 
+def test_whole_messages_that_wait_are_not_taken_for_one_that_is_not_finished(rig, monkeypatch):
+    monkeypatch.setattr("gannetfront.edge.session.START_TIMEOUT", 100.0)
+    one = rig(PgNode([300, GOOD]))
+    client, many = one.client(), budget.MAX_PENDING + 40
+    client.stream.send(query(select("01")) + query(b"") * many + query(select("02")), 1000)
+    got = [client.until(b"Z") for _ in range(many + 2)]
+    assert [verdict(got[0]), verdict(got[-1])] == [b"value"] * 2
+
+
 @pytest.mark.parametrize("ahead", [1, 3])
 def test_a_client_that_asks_again_at_once_does_not_keep_a_stop_from_its_end(rig, monkeypatch, ahead):
     """Each answer was followed by the next request before anybody found the connection idle, until the kill lost one."""
