--- a/gannetfront/host.py
+++ b/gannetfront/host.py
@@ -113,13 +113,21 @@
         return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss << 10
 
 
-def write_error_line(line):
-    """Writes one line to standard error and returns True, or False where that would wait or fails."""
+def takes_error_output():
+    """Whether standard error takes some bytes at once; True where that cannot be asked."""
     asked = select.poll()
     asked.register(STANDARD_ERROR, select.POLLOUT)
     try:
-        if not any(events & select.POLLOUT for _, events in asked.poll(0)):
-            return False
+        return any(events & select.POLLOUT for _, events in asked.poll(0))
+    except OSError:
+        return True
+
+
+def write_error_line(line):
+    """Writes one line to standard error and returns True, or False where that would wait or fails."""
+    if not takes_error_output():
+        return False
+    try:
         os.write(STANDARD_ERROR, line.encode("utf-8", "replace") + b"\n")
         return True
     except OSError:
