--- a/tests/soak.py
+++ b/tests/soak.py
@@ -330,7 +330,8 @@
         if one.outcome == "crossed" and not has_run or self.is_excused(one):
             return
         self.problems.append(
-            f"{one.ident}: lost ({one.outcome}), new connection: {one.on_new_connection}, ran: {has_run}"
+            f"{one.ident}: lost ({one.outcome}), new connection: {one.on_new_connection}, ran: {has_run},"
+            f" out from {one.sent_at:.0f} to {one.ended_at or 0:.0f}, stops and kills {self.kills}"
         )
 
     def is_excused(self, one):
