A startup message and its first query need no turn of their own

Found in reading this series over: after exactly two messages a connection took itself to have more, and waited 2 ms for its turn behind all others, on each new connection whose query comes with its startup message. A turn is now needed only where bytes are left. The test failed before and passes.

--- a/gannetfront/edge/session.py
+++ b/gannetfront/edge/session.py
@@ -326,7 +326,7 @@
             except pg.BadMessage as error:
                 # What follows a malformed message cannot be parsed: this answer is the last.
                 self.finish_with(pg.error(error.code, error.why, True), error.code.decode())
-        self.has_backlog = not self.final_answer_queued
+        self.has_backlog = not self.final_answer_queued and bool(self.reader.held)
 
     def handle(self, message):
         """Queues the answer to a message. Raises BadMessage after a malformed one."""
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -144,6 +144,15 @@
     assert None not in got[-1] and most[0] <= bound
 
 
+def test_startup_and_first_query_need_no_turn(rig, monkeypatch):
+    one, turns = rig(PgNode()), []
+    monkeypatch.setattr(one.edge.clients, "wait_for_turn", lambda: turns.append(1))
+    client = Client(one.at, start=False)
+    client.stream.send(pg.startup(b"client", b"core") + hostile.query(select("01")), 1000)
+    client.until(b"Z")
+    assert verdict(client.until(b"Z")) == b"\\x9f03" and not turns
+
+
 def test_connection_whose_next_request_is_on_its_way_does_not_give_way(rig):
     one = rig(PgNode(), sockets=64)
     clients = [one.client() for _ in range(one.edge.budget.max_clients)]
