--- a/review/standins2/common.py
+++ b/review/standins2/common.py
@@ -485,14 +485,14 @@
                     await self.connect()
                 self.writer.write(message(b"Q", sql + b"\0"))
                 outcome = await asyncio.wait_for(self.answer(), limit / 1000 + 0.6)
+            except asyncio.TimeoutError:
+                self.drop()
+                outcome = "silent", None
             except (OSError, asyncio.IncompleteReadError):
                 self.drop()
                 outcome = "closed", None
                 if kept:
                     continue
-            except asyncio.TimeoutError:
-                self.drop()
-                outcome = "silent", None
             break
         self.record.write("client is answered", ident, *outcome)
         return outcome
