--- a/review/7/case.py
+++ b/review/7/case.py
@@ -72,6 +72,8 @@
     running[0] = False
     await asyncio.gather(*clients)
     record.say("answers at last:", outcomes)
+    if not came_back and "cannot listen" in proxy.log_tail(1)[-1]:
+        raise CouldNotRunError("another process has taken the port")
     if not came_back:
         record.say("the proxy did not come back; exit status", proxy.process.returncode)
         record.say("it says:", proxy.log_tail(1)[-1][:200])
