--- a/gannetfront/edge/config.py
+++ b/gannetfront/edge/config.py
@@ -3,19 +3,19 @@
 Invalid values raise BadSetting, which names the environment variable or the field.
 """
 
-import json
 from dataclasses import replace
-from math import isfinite
 
 from .. import host
 from ..benchlink import codec
-from ..benchlink.codec import BadSetting
+from ..benchlink.codec import BadSetting, Section
 from ..memory import MIB, MemoryBudget
 from ..wire import BadAnswer
+from ..wire.numbers import decode_json
 from ..wire.platform import Listing, news
 from .budget import Budget
 
 DEFAULT_MEMORY_MB = 192  # the most that the platform grants
+MOST_HELD = 5000  # open requests of one process
 MARGIN = 10.0  # ms subtracted from a client's time limit, so that the answer is written before it ends
 
 
@@ -25,7 +25,7 @@
     `where` is the path of the object, with its trailing dot, for the error message."""
     value = container.get(name)
     if not isinstance(value, kind) or isinstance(value, bool):
-        expected = {dict: "an object", list: "a list", str: "text", (int, float): "a number"}[kind]
+        expected = {dict: "an object", list: "a list"}[kind]
         raise BadSetting(f"{where}{name}: must be {expected}, not {str(value)[:40]!r}")
     return value
 
@@ -45,7 +45,7 @@
         data = host.read_file(path)
         if data is None:
             raise BadSetting(f"{path}: no such file")
-        document = json.loads(data)
+        document = decode_json(data)
     except (OSError, ValueError, RecursionError) as error:
         raise BadSetting(f"{path}: cannot be read: {str(error)[:200]}") from None
     if not isinstance(document, dict):
@@ -81,28 +81,16 @@
         self.discovery, self.release_api = runtime_addresses(document)
         if environment.get("EDGE_DISCOVERY"):
             self.discovery = host_port(environment["EDGE_DISCOVERY"], "EDGE_DISCOVERY")
-        ceilings, limits = field(settings, "ceilings", dict, "settings."), field(document, "limits", dict, "")
-
-        def number(container, name, where):
-            return field(container, name, (int, float), where)
-
-        self.connect_limit = number(ceilings, "connectTimeoutMs", "settings.ceilings.")
+        ceilings = Section(field(settings, "ceilings", dict, "settings."), "settings.ceilings.")
+        limits = Section(field(document, "limits", dict, ""), "limits.")
+        self.connect_limit = ceilings.positive_number("connectTimeoutMs")
         # Well before the server closes an idle connection: a request that crosses the close may have been
         # executed.
-        self.pool_idle = 0.5 * number(ceilings, "idleCloseMs", "settings.ceilings.")
-        self.most_held = int(min(number(ceilings, "mostHeld", "settings.ceilings."), 5000))
-        for name, value in (
-            ("connectTimeoutMs", self.connect_limit),
-            ("idleCloseMs", self.pool_idle),
-            ("mostHeld", self.most_held),
-        ):
-            if not isfinite(value) or value <= 0:
-                raise BadSetting(f"settings.ceilings.{name}: must be above 0")
-        memory_mb = number(limits, "memory_mb", "limits.") if "memory_mb" in limits else DEFAULT_MEMORY_MB
-        if not isfinite(memory_mb) or memory_mb <= 0:
-            raise BadSetting("limits.memory_mb: must be above 0")
+        self.pool_idle = 0.5 * ceilings.positive_number("idleCloseMs")
+        self.most_held = max(1, int(min(ceilings.positive_number("mostHeld"), MOST_HELD)))
+        memory_mb = limits.positive_number("memory_mb") if "memory_mb" in limits.values else DEFAULT_MEMORY_MB
         self.memory = MemoryBudget(int(memory_mb * MIB))
-        self.budget = Budget(int(number(limits, "sockets", "limits.")), self.memory)
+        self.budget = Budget(int(limits.positive_number("sockets")), self.memory)
         seed = str(document.get("seed", ""))
         try:
             self.seed = int(seed, 16)
--- a/gannetfront/release/webhooks.py
+++ b/gannetfront/release/webhooks.py
@@ -8,9 +8,9 @@
 import base64
 import binascii
 import hmac
-import json
 
 from ..wire.http import header
+from ..wire.numbers import decode_json, whole_number
 
 MAX_BODY_BYTES = 65536  # bytes of a delivery's body
 MAX_ID_LENGTH = 200  # characters of a delivery id
@@ -77,7 +77,8 @@
     if standard_signature is not None:
         delivery_id = header_text(headers, b"webhook-id") or ""
         timestamp = header_text(headers, b"webhook-timestamp") or ""
-        if not timestamp.isdigit() or len(timestamp) > 12:
+        # isdigit() alone also takes superscripts, which int() does not.
+        if not (timestamp.isascii() and timestamp.isdigit()) or len(timestamp) > 12:
             raise Refused(400, "webhook-timestamp is no time")
         digests = []
         for part in standard_signature.split(" ")[:8]:
@@ -112,8 +113,10 @@
     if not 0 < len(delivery_id) <= MAX_ID_LENGTH or not delivery_id.isprintable():
         raise Refused(400, "no delivery id of 1 to 200 characters")
     build = event.get("build")
-    if not isinstance(build, int) or isinstance(build, bool):
-        raise Refused(422, "'build' must be a whole number")
+    try:
+        build = whole_number(None if isinstance(build, str) else build)
+    except ValueError:
+        raise Refused(422, "'build' must be a whole number") from None
     if not pipeline.first <= build <= pipeline.last:
         raise Refused(403, f"this pipeline may offer builds {pipeline.first} to {pipeline.last}")
     return delivery_id, build
@@ -123,7 +126,7 @@
     """(the event's data, its CloudEvents source and id as one text or None). Raises Refused."""
     content_type = (header_text(headers, b"content-type") or "").partition(";")[0].strip().lower()
     try:
-        payload = json.loads(body)
+        payload = decode_json(body)
     except (ValueError, RecursionError):
         raise Refused(400, "the body is no JSON") from None
     if not isinstance(payload, dict):
--- a/gannetfront/tenants/views.py
+++ b/gannetfront/tenants/views.py
@@ -5,7 +5,9 @@
 is held until an operator accepts it, so that a wrong filter does not refuse every tenant.
 """
 
-from math import isfinite
+from math import nan
+
+from ..wire import numbers
 
 NO_GROUP = "-"  # the group of tenants that are in none
 
@@ -89,11 +91,11 @@
         return None
     text = single_text(attrs, name, "a number")
     try:
-        value = float(text)
+        value = numbers.number(text)
     except ValueError:
-        raise ValueError(f"{name} '{text[:40]}' is not a number") from None
-    if not isfinite(value) or not 0 <= value <= maximum:
-        raise ValueError(f"{name} {text[:40]} is outside 0 to {maximum:g}")
+        value = nan
+    if not 0 <= value <= maximum:
+        raise ValueError(f"{name} '{text[:40]}' is not a number or is outside 0 to {maximum:g}")
     return value
 
 
--- a/gannetfront/wire/invocation.py
+++ b/gannetfront/wire/invocation.py
@@ -14,9 +14,10 @@
 A node reports that it has not started an invocation with 503 and `Gannet-Unseen: 1`.
 """
 
-from math import ceil, isfinite
+from math import ceil
 
 from ..interface import ERROR, FULL, SUCCEEDED
+from . import numbers
 from .http import AnswerReader, BadRequest, answer, end_to_end_headers, header, request
 
 # Headers that are meant for one hop only: the proxy does not forward them between clients and nodes.
@@ -49,11 +50,11 @@
     patience = by_name.get(b"gannet-patience-ms")
     if patience is not None:
         try:
-            patience = float(patience)
+            patience = numbers.number(patience.decode("latin-1"))
         except ValueError:
-            patience = float("nan")
+            patience = 0.0
         # A wait of zero or less is over before any answer could be sent.
-        if not isfinite(patience) or patience <= 0:
+        if patience <= 0:
             raise BadRequest(400, "Gannet-Patience-Ms must be a number above 0")
     key, idempotency_key = by_name.get(b"gannet-key"), by_name.get(b"idempotency-key")
     for header_name, value in (("Gannet-Key", key), ("Idempotency-Key", idempotency_key)):
@@ -111,10 +112,10 @@
         for part in (header(self.headers, b"gannet-load") or b"").split(b","):
             name, _, number = part.strip().partition(b"=")
             try:
-                value = float(number)
+                value = numbers.number(number.decode("latin-1"))
             except ValueError:
                 continue
-            if isfinite(value) and value >= 0 and len(reported) < 4:
+            if value >= 0 and len(reported) < 4:
                 reported[name.decode("latin-1")] = value
         return reported
 
--- a/gannetfront/wire/pg.py
+++ b/gannetfront/wire/pg.py
@@ -6,11 +6,10 @@
 """
 
 import re
-from math import isfinite
 from struct import Struct
 
 from ..interface import ERROR, FULL, SUCCEEDED
-from . import BadAnswer
+from . import BadAnswer, numbers
 
 VALUE_LIMIT = 65536  # bytes of a value
 QUERY_LIMIT = 2 * VALUE_LIMIT + 4096  # a value stands in hexadecimal
@@ -185,7 +184,7 @@
     b"id": re.compile(rb"[0-9a-f]{1,32}"),
     b"c": re.compile(rb"[^ ]{1,64}"),
     b"k": re.compile(rb"[0-9a-f]{1,64}"),
-    b"d": re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,6})?"),
+    b"d": re.compile(rb"[0-9.+][0-9.eE+-]{0,499}"),
     b"r": re.compile(rb"1"),
 }
 
@@ -223,8 +222,11 @@
         raise BadMessage(
             b"22023", "the class needs k in its comment" if fingerprinted else "the class has no k"
         )
-    left = float(told[b"d"])
-    if not isfinite(left) or left <= 0:
+    try:
+        left = numbers.number(told[b"d"].decode())
+    except ValueError:
+        raise BadMessage(b"22023", f"the comment's d cannot be '{told[b'd'][:40].decode()}'") from None
+    if left <= 0:
         raise BadMessage(b"22023", "the comment's d must be above 0")
     # d alone changes on the way to a node: the rest goes on byte for byte.
     at = found.start(4)
@@ -406,10 +408,10 @@
         for part in filter(None, self.load_report.split(b",")):
             name, _, figure = part.partition(b"=")
             try:
-                value = float(figure)
+                value = numbers.number(figure.decode("latin-1"))
             except ValueError:
                 return {}
-            if name not in REPORT or not isfinite(value) or value < 0:
+            if name not in REPORT or value < 0:
                 return {}
             load[REPORT[name]] = value
         return load
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -3,16 +3,14 @@
 Everything is read whole and checked, or BadAnswer is raised and nothing of it holds.
 """
 
-import json
 import re
-from math import isfinite
 from urllib.parse import parse_qsl, urlencode
 from xml.etree import ElementTree
 
 import httptools
 
 from ..interface import DRAINING, ERROR, FULL, GONE, MOOT, READY, SUCCEEDED, TIMEOUT
-from . import BadAnswer
+from . import BadAnswer, numbers
 
 PHASES = "Progressing", "Aborting", "Healthy", "Aborted"
 VERDICTS = "abstain", "promote", "pause", "abort"
@@ -20,38 +18,61 @@
 REFUSALS = {"limit": FULL, "moot": MOOT, "error": ERROR, "malformed": ERROR}
 LINE_LIMIT = 4096  # bytes of a line of the event stream
 MOST_BUILD = 65535
+MOST_STAGE = 1000
+LONGEST_TIME = 1e15  # ms
+LEAST_WEIGHT, MOST_WEIGHT = 1e-9, 1e9  # of a server; weights are divided by one another
 JSON_VALUE_BYTES = 64  # of a decoded value or container, on average at most
 
 
-def whole_number(text, what, most=1 << 31):
-    if not isinstance(text, str) or not re.fullmatch(r"[0-9]{1,15}", text) or int(text) > most:
-        raise BadAnswer(f"{what} is no whole number: {str(text)[:40]!r}")
-    return int(text)
+def integer(value, what):
+    """Any whole number; raises BadAnswer."""
+    try:
+        return numbers.whole_number(value)
+    except ValueError as error:
+        raise BadAnswer(f"{what} is {error}") from None
+
+
+def whole_number(value, what, most=None):
+    """A whole number from 0 to `most`, without a limit where it is None; raises BadAnswer."""
+    whole = integer(value, what)
+    if whole < 0 or (most is not None and whole > most):
+        raise BadAnswer(f"{what} is out of range: {str(value)[:40]!r}")
+    return whole
+
 
+def fraction(value, what):
+    """A number from 0 to 1; raises BadAnswer."""
+    share = number(value, what)
+    if not 0 <= share <= 1:
+        raise BadAnswer(f"{what} is out of range: {str(value)[:40]!r}")
+    return share
 
-def figure(text, what, most=1e15):
-    if not isinstance(text, str) or not re.fullmatch(
-        r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?", text
-    ):
-        raise BadAnswer(f"{what} is no number: {str(text)[:40]!r}")
-    value = float(text)
-    if not isfinite(value) or value > most:
-        raise BadAnswer(f"{what} is past {most}: {text[:40]!r}")
-    return value
+
+def duration(value, what):
+    """A time span in ms from 0 to LONGEST_TIME, the nearest end where it is outside; raises BadAnswer."""
+    return min(max(number(value, what), 0.0), LONGEST_TIME)
+
+
+def number(value, what):
+    """Any finite number; raises BadAnswer."""
+    try:
+        return numbers.number(value)
+    except ValueError as error:
+        raise BadAnswer(f"{what} is {error}") from None
 
 
 # ---- the release API ----
 
 
 def state(fields):
-    """(stage, age in ms, cap, build, phase) of the newest build, from names and texts."""
+    """(stage, age in ms, cap, build, phase) of the newest build, from names and texts or numbers."""
     phase = fields.get("phase")
     if phase not in PHASES:
         raise BadAnswer(f"no phase: {str(phase)[:40]!r}")
     return (
-        whole_number(fields.get("stage"), "stage", 1000),
-        figure(fields.get("age_ms"), "age_ms"),
-        figure(fields.get("cap"), "cap", 1.0),
+        whole_number(fields.get("stage"), "stage", MOST_STAGE),
+        duration(fields.get("age_ms"), "age_ms"),
+        fraction(fields.get("cap"), "cap"),
         whole_number(fields.get("build"), "build", MOST_BUILD),
         PHASES.index(phase),
     )
@@ -64,11 +85,13 @@
     all_of, bad = whole_number(fields.get("count"), "count"), whole_number(fields.get("failed"), "failed")
     if bad > all_of:
         raise BadAnswer("more failed than were counted")
+    # The mean of no attempts at all is no number everywhere: failures alone are read without it.
+    mean_time = duration(fields.get("mean_ms"), "mean_ms") if bad < all_of else 0.0
     return (
         all_of,
-        figure(fields.get("age_ms"), "age_ms"),
+        duration(fields.get("age_ms"), "age_ms"),
         bad,
-        figure(fields.get("mean_ms"), "mean_ms"),
+        mean_time,
         operations[fields["class"]],
         whole_number(fields.get("build"), "build", MOST_BUILD),
     )
@@ -113,13 +136,7 @@
     """The state that the configuration holds, an object with JSON's numbers."""
     if not isinstance(told, dict):
         raise BadAnswer("news is no object")
-    return state(
-        {
-            name: value if isinstance(value, str) else repr(value)
-            for name, value in told.items()
-            if not isinstance(value, bool)
-        }
-    )
+    return state(told)
 
 
 class Notices:
@@ -162,9 +179,11 @@
     def on_line(self, line):
         if not line:
             if self.data is not None:
+                # A plus stands for itself, as in 1e+16: no value has a space.
+                literal = self.data.replace("+", "%2B")
                 pairs = (
-                    parse_qsl(self.data, keep_blank_values=True, max_num_fields=32)
-                    if self.data.count("&") < 32
+                    parse_qsl(literal, keep_blank_values=True, max_num_fields=32)
+                    if literal.count("&") < 32
                     else []
                 )
                 if len(dict(pairs)) == len(pairs) > 0:
@@ -199,23 +218,21 @@
     def read(self, body):
         """(version, whole, [(entry for the decisions but its start, dial, born in Unix ms)])."""
         try:
-            return self.listing(json.loads(body))
+            return self.listing(numbers.decode_json(body))
         except (ValueError, RecursionError) as trouble:
             raise BadAnswer(f"no JSON: {str(trouble)[:100]}") from None
 
     def listing(self, told):
-        if (
-            not isinstance(told, dict)
-            or type(told.get("seq")) is not int
-            or type(told.get("whole")) is not bool
-        ):
+        if not isinstance(told, dict) or "seq" not in told or type(told.get("whole")) is not bool:
             raise BadAnswer("a listing needs seq, a whole number, and whole, true or false")
+        version = integer(told.get("seq"), "seq")
         hosts = told.get("hosts")
         if not isinstance(hosts, list):
             raise BadAnswer("hosts is no list")
-        return told["seq"], told["whole"], [self.entry(one) for one in hosts]
+        return version, told["whole"], [self.entry(one) for one in hosts]
 
     def entry(self, one):
+        """One entry of a listing, as read() gives it; raises BadAnswer."""
         if not isinstance(one, dict):
             raise BadAnswer("an entry is no object")
         get = one.get
@@ -223,30 +240,35 @@
         def among(name, words):
             return isinstance(get(name), str) and get(name) in words
 
+        def told(name):
+            return None if isinstance(get(name), str) else get(name)
+
         fits = (
             isinstance(get("host"), str) and 0 < len(get("host")) <= 256,
             isinstance(get("dial"), str) and re.fullmatch(r"[0-9.]{7,15}:[0-9]{1,5}", get("dial")),
             among("site", self.zones),
             among("class", self.kinds),
-            type(get("block")) is int,
             among("health", STATES),
-            type(get("share")) in (int, float) and 0 < get("share") < 1e9,
-            type(get("born_ms")) in (int, float) and 0 <= get("born_ms") < 1e15,
-            type(get("revision_no")) is int and 0 <= get("revision_no") <= MOST_BUILD,
         )
-        for name, fit in zip("host dial site class block health share born_ms revision_no".split(), fits):
+        for name, fit in zip("host dial site class health".split(), fits):
             if not fit:
                 raise BadAnswer(f"an entry's {name} cannot be {str(get(name))[:40]!r}")
+        weight, start_time = (
+            number(told("share"), "an entry's share"),
+            number(told("born_ms"), "an entry's born_ms"),
+        )
+        if start_time < 0:
+            raise BadAnswer(f"an entry's born_ms is out of range: {start_time}")
         return (
             (
                 one["host"],
                 self.zones[one["site"]],
-                one["revision_no"],
+                whole_number(told("revision_no"), "an entry's revision_no", MOST_BUILD),
                 self.kinds[one["class"]],
-                one["block"],
+                integer(told("block"), "an entry's block"),
                 STATES[one["health"]],
-                float(one["share"]),
+                min(max(weight, LEAST_WEIGHT), MOST_WEIGHT),
             ),
             one["dial"],
-            float(one["born_ms"]),
+            min(start_time, LONGEST_TIME),
         )
--- a/tests/edge_rig.py
+++ b/tests/edge_rig.py
@@ -130,6 +130,7 @@
         self.watchers = []
         self.streams = []
         self.vote_answers, self.asked, self.open = [], [], []
+        self.state_text = b""  # the notice that a new stream begins with
         self.listener = host.Listener("127.0.0.1:0")
         self.at = self.listener.where
         host.spawn(host.serve, self.listener, self.handle, Log())
@@ -175,6 +176,8 @@
                         b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
                         1000,
                     )
+                    if self.state_text:
+                        stream.send(b"%x\r\n%s\r\n" % (len(self.state_text), self.state_text), 1000)
                     self.streams.append(stream)
                     stream.recv(1, 10000)
                 else:
@@ -189,6 +192,12 @@
             if stream.open:
                 stream.send(b"%x\r\n%s\r\n" % (len(text), text), 1000)
 
+    def tell(self, **fields):
+        """Tells a state of the newest build: on the streams that are open and first on all later ones."""
+        pairs = "&".join(f"{name}={value}" for name, value in fields.items())
+        self.state_text = f"event: news\ndata: {pairs}\n\n".encode()
+        self.notice(self.state_text)
+
     def close(self):
         self.listener.close()
         for stream in self.open:
