What cannot be read of the platform never leaves the bolder state standing

What callers saw: a notice that could not be read was dropped with a line in the log and the cap before it went on (160 of 216 requests in 1 s to the build on trial, where the new state may allow none); a start with such a state ended with status 2; so did one with an unreadable entry in `known`; one such entry in a listing kept a whole list out, draining nodes included, for as long as it stood there; a file that SIGHUP found half written was never read again.

Cause: each reader raised, and each caller took that for nothing told.

Change, with the reason for each side: - State of a rollout (edge/rollout_state.py, without I/O): until one can be read again nothing goes to a build on trial, later builds included, and none is promoted. The cap may have fallen to 0, where the rule on exposure says "send nothing there"; requests can go to released builds or be refused without breaking a rule. A release is taken back only by what can be read of the state itself: on noise alone every request would be refused, and the rule binds builds that are not released. The answer to a vote that was sent before the unreadable state ends no block. - It is asked for anew: another stream of notices begins with the state. A `news` with none of its fields, or a `known` without hosts, is a wrong configuration and still ends with its one line. - Listings: nodes that they list as draining or gone, and nodes of which they have an unreadable entry, get nothing new at once; the rest waits for the complete list, and is taken when that has unreadable entries too. - SIGHUP: each address that can be read is applied; the file is read again, every 50 ms to 1 s, until all of it can. - Notices with a known name and unreadable data, of an unknown name, and counts that cannot be read are logged. A line past the limit is not read; it was cut there, and half a number is another number. - Events of two greenlets that wait for room keep their order.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -252,6 +252,7 @@
         self.cap = 0.0
         self.phase = None
         self.stage_known = False
+        self.trial_blocked = False  # a state of the rollout arrived that could not be read
         self.trial_dispatches = {}  # build -> Window of the operations dispatched to it
         self.answered_by = OrderedDict()  # key -> newest build that answered it, the newest answer last
         self.arrivals = Window(COUNTING_SPAN_MS, 1000)  # (operation, tenant)
@@ -380,6 +381,12 @@
         self.stage_known = True
         self.pools_due = 0.0
 
+    def block_trial(self, blocked):
+        """While blocked, nothing is dispatched to a build on trial and no vote promotes it: the release state is
+        not known, and the cap may have fallen to 0."""
+        self.trial_blocked = blocked
+        self.pools_due = 0.0
+
     def tenants_listed(self, tenants):
         """The directory's present portions by tenant number; a number stays with its tenant or group."""
         self.tenants = tenants
@@ -458,7 +465,10 @@
         # At the last stage, where the build may take all traffic, it gets most of it before its release: a
         # build that fails only under load would otherwise show it when no earlier servers are left.
         self.last_stage_loaded = (
-            self.phase == TRIAL and self.cap >= 1 and self.stage >= len(self.remaining_shares) - 1
+            self.phase == TRIAL
+            and not self.trial_blocked
+            and self.cap >= 1
+            and self.stage >= len(self.remaining_shares) - 1
         )
         old_factor = EARLIER_BUILD_WEIGHT if self.last_stage_loaded else 1.0
         # Only warm trial servers take the extra load, each no more than it will once all of the build runs;
@@ -474,7 +484,7 @@
         # hundreds of proxies that send one dispatch each.
         self.usable_share = (
             self.cold_load_factor
-            * (old.total_weight + (new.total_weight if self.cap > 0 else 0.0))
+            * (old.total_weight + (new.total_weight if self.cap > 0 and not self.trial_blocked else 0.0))
             / self.ready_weight
         )
         self.pools_due = (
@@ -648,6 +658,8 @@
 
     def within_exposure_cap(self, build, operation):
         """Whether the exposure cap allows one more dispatch of the operation to a build on trial."""
+        if self.trial_blocked:
+            return False
         stage, cap = (
             (self.stage, self.cap) if self.stage_known and build == self.version else (0, self.first_cap)
         )
@@ -1159,7 +1171,7 @@
             or self.collapsed()
         ):
             verdict = ROLL_BACK
-        elif self.phase == TRIAL and self.votes_to_promote:
+        elif self.phase == TRIAL and self.votes_to_promote and not self.trial_blocked:
             quiet = self.now >= build_up_at + self.quiet_time
             outcomes = sum(row[0] for row in wrong)
             # Late and slow answers in a burst are forgiven by their standard error, less so the more machines
--- a/gannetfront/edge/api.py
+++ b/gannetfront/edge/api.py
@@ -3,11 +3,12 @@
 from .. import host
 from ..interface import ERROR, SUCCEEDED, TIMEOUT
 from ..wire import BadAnswer, asking, http, platform
+from .rollout_state import RolloutState
 
 SILENCE_TIMEOUT = 3500.0  # ms without data until the stream counts as lost; heartbeats come each second
 IDLE_TIMEOUT = 4000.0  # ms that an idle connection for votes is kept, less than the platform keeps it
+MAX_UNSENT_EVENTS = 64
 MIN_BACKOFF, MAX_BACKOFF = 20.0, 1000.0  # ms between attempts to open the stream
-START_TOLERANCE = 200.0  # ms by which two readings of a state's start time may differ
 
 
 class ReleaseApi:
@@ -23,33 +24,75 @@
         self.jitter = jitter
         self.log = log
         self.votes = host.Mailbox(16)
-        self.newest = None
+        self.rollout = RolloutState()
+        self.unsent_events = []
+        self.passing_on = False
+        self.reopening = False
+        self.reopen_backoff = MIN_BACKOFF
         self.idle_connection = None
         self.generation = 0
         self.stream = None
 
     # ---- release state ----
 
-    def state(self, answer, status, received=None):
-        """Passes on the newest known state; `answer` says whether it comes with the outcome of a vote.
+    newest = property(lambda self: self.rollout.newest)
 
-        States come by several ways that may overtake one another, so `received` is ignored if it is older
-        than the known one."""
+    def state(self, answer, status, received=None, asked_at=None):
+        """Passes on the newest known state; `answer` says whether it comes with the outcome of a vote, which was
+        sent at `asked_at`."""
+        now = host.now()
         if received:
-            stage, age, cap, build, phase = received
-            began = host.now() - age
-            if not self.newest or (build, began + START_TOLERANCE) >= (self.newest[3], self.newest[1]):
-                self.newest = stage, began, cap, build, phase
-        stage, began, cap, build, phase = self.newest
-        self.put_event("stage_told", answer, stage, host.now() - began, cap, status, build, phase)
+            self.rollout.receive(received, now, now if asked_at is None else asked_at)
+        self.pass_on(self.rollout.events(now, answer, status))
+
+    def pass_on(self, events):
+        """Passes events on in the order in which they were made, also where several greenlets wait for room."""
+        while len(self.unsent_events) > MAX_UNSENT_EVENTS:
+            host.sleep(1)
+        self.unsent_events += events
+        if self.passing_on:
+            return
+        self.passing_on = True
+        try:
+            while self.unsent_events:
+                self.put_event(*self.unsent_events.pop(0))
+        finally:
+            self.passing_on = False
+
+    def lose_state(self, source, error):
+        """A state came from `source` that cannot be read: stops dispatches to a build on trial."""
+        self.log.warning("release state unreadable", source=source, why=str(error)[:200])
+        partial = getattr(error, "partial", platform.PartialState())
+        self.rollout.lose(partial, host.now())
+        self.state(False, SUCCEEDED)
+
+    def on_unreadable_state(self, source, error):
+        """Does as lose_state() and asks for the state anew, on another stream of notices."""
+        self.lose_state(source, error)
+        if not self.reopening:
+            self.reopening = True
+            host.spawn(self.reopen)
+
+    def reopen(self):
+        """Opens another stream of notices after a backoff: each begins with the state. The old stream stays open
+        until the new one is accepted, so that no count is missed."""
+        host.sleep(self.reopen_backoff * (0.5 + self.jitter.random()))
+        self.reopen_backoff = min(MAX_BACKOFF, 2 * self.reopen_backoff)
+        self.reopening = False
+        if self.rollout.unreadable_since is not None:
+            self.listen_anew()
+
+    def listen_anew(self):
+        """Starts another listener; the present one ends with its stream."""
+        self.generation += 1
+        host.spawn(self.listen, self.generation)
 
     def move(self, at):
         """Switches to a release API at another address. The old stream stays open until the new one is
         accepted."""
         if at != self.at:
             self.at = at
-            self.generation += 1
-            host.spawn(self.listen, self.generation)
+            self.listen_anew()
 
     # ---- votes ----
 
@@ -63,11 +106,12 @@
         while True:
             vote = self.votes.take()
             if vote:
+                asked_at = host.now()
                 status, received = self.cast(platform.vote(*vote))
                 self.log.info(
                     "vote", stage=vote[0], build=vote[1], verdict=platform.VERDICTS[vote[2]], answer=status
                 )
-                self.state(True, status, received)
+                self.state(True, status, received, asked_at)
 
     def cast(self, form):
         """Sends a vote; returns (status, state or None). Never retried: a vote that was received may have
@@ -89,12 +133,16 @@
         try:
             stream.send(data, time_left())
             if not asking.read(stream, reader, time_left):
-                return TIMEOUT, None
+                raise BadAnswer("the connection ended before the answer was whole")
             answer = platform.vote_answer(reader.status, reader.body)
+            if answer[0] == TIMEOUT:
+                self.on_unreadable_state("vote", f"status {reader.status}")
             if reader.reusable and answer[0] != TIMEOUT:
                 self.idle_connection, stream = (host.now(), at, stream), None
             return answer
-        except (OSError, host.Timeout, BadAnswer):
+        except (OSError, host.Timeout, BadAnswer) as error:
+            if reader.received_size:
+                self.on_unreadable_state("vote", error)
             return (TIMEOUT if stream.sent >= len(data) else ERROR), None
         finally:
             if stream:
@@ -156,9 +204,15 @@
 
     def on_notice(self, event, fields):
         try:
-            if event == "news":
+            if event == platform.NEWS:
                 self.state(False, SUCCEEDED, platform.state(fields))
-            elif event == "counts":
+                self.reopen_backoff = MIN_BACKOFF
+            elif event == platform.COUNTS:
                 self.put_event("tally", *platform.counts(fields, self.operations))
-        except BadAnswer as error:
+            else:
+                self.log.info("unknown notice", notice=event[:20])
+        except platform.UnreadableState as error:
             self.log.info("malformed notice", notice=event[:20], why=str(error)[:200])
+            self.on_unreadable_state("notice", error)
+        except BadAnswer as error:
+            self.log.warning("malformed notice", notice=event[:20], why=str(error)[:200])
--- a/gannetfront/edge/config.py
+++ b/gannetfront/edge/config.py
@@ -11,11 +11,14 @@
 from ..memory import MIB, MemoryBudget
 from ..wire import BadAnswer
 from ..wire.numbers import decode_json
-from ..wire.platform import Listing, news
+from ..wire.platform import Listing, UnreadableEntries, UnreadableState, news
 from .budget import Budget
 
 DEFAULT_MEMORY_MB = 192  # the most that the platform grants
 MOST_HELD = 5000  # open requests of one process
+EMPTY_LISTING = (0, True, [])
+STATE_FIELDS = "build", "stage", "phase", "cap", "age_ms"
+LISTING_FIELDS = ("hosts",)
 MARGIN = 10.0  # ms subtracted from a client's time limit, so that the answer is written before it ends
 
 
@@ -54,11 +57,47 @@
 
 
 def runtime_addresses(document):
-    """The addresses that may change while the proxy runs: (discovery, release API)."""
-    return (
-        host_port(document.get("discovery"), "discovery"),
-        host_port(field(document, "release_api", dict, "").get("address"), "release_api.address"),
-    )
+    """The addresses that may change while the proxy runs: (discovery, release API, problems). An address that
+    cannot be read is None, with its BadSetting among the problems."""
+    problems = []
+
+    def address(container, name, where):
+        try:
+            return host_port(container().get(name), where)
+        except BadSetting as error:
+            problems.append(error)
+            return None
+
+    discovery = address(lambda: document, "discovery", "discovery")
+    release_api = address(lambda: field(document, "release_api", dict, ""), "address", "release_api.address")
+    return discovery, release_api, problems
+
+
+def section_with(container, name, fields, where):
+    """The object `name` of the file, which must have one of `fields` at least. Raises BadSetting."""
+    section = field(container, name, dict, where)
+    if not any(one in section for one in fields):
+        raise BadSetting(f"{where}{name}: must have {', '.join(fields)}")
+    return section
+
+
+def read_state(told):
+    """(the release state, None), or (None, the UnreadableState): the proxy starts without one and asks for it."""
+    try:
+        return news(told), None
+    except UnreadableState as error:
+        return None, error
+
+
+def read_listing(listing, told):
+    """(the listing, None), or (the entries that can be read, the BadAnswer): the list may be out of date anyway,
+    and the complete one is asked for."""
+    try:
+        return listing.listing(told), None
+    except UnreadableEntries as error:
+        return error.listing, error
+    except BadAnswer as error:
+        return EMPTY_LISTING, error
 
 
 class Start:
@@ -78,7 +117,9 @@
             )
         self.me, self.listing = self.facts.me, Listing(zones, kinds)
         self.listen = host_port(environment.get("EDGE_LISTEN") or document.get("listen"), "EDGE_LISTEN")
-        self.discovery, self.release_api = runtime_addresses(document)
+        self.discovery, self.release_api, problems = runtime_addresses(document)
+        if problems:
+            raise problems[0]
         if environment.get("EDGE_DISCOVERY"):
             self.discovery = host_port(environment["EDGE_DISCOVERY"], "EDGE_DISCOVERY")
         ceilings = Section(field(settings, "ceilings", dict, "settings."), "settings.ceilings.")
@@ -96,14 +137,12 @@
             self.seed = int(seed, 16)
         except ValueError:
             raise BadSetting(f"seed: {seed[:40]!r} is not hexadecimal") from None
-        try:
-            self.initial_state = news(field(document["release_api"], "news", dict, "release_api."))
-        except BadAnswer as error:
-            raise BadSetting(f"release_api.news: {error}") from None
-        try:
-            self.initial_listing = self.listing.listing(field(document, "known", dict, ""))
-        except BadAnswer as error:
-            raise BadSetting(f"known: {error}") from None
+        self.initial_state, self.unreadable_state = read_state(
+            section_with(document["release_api"], "news", STATE_FIELDS, "release_api.")
+        )
+        self.initial_listing, self.unreadable_listing = read_listing(
+            self.listing, section_with(document, "known", LISTING_FIELDS, "")
+        )
         # limits: time limit in ms by operation index. operations: name in bytes -> (index, fingerprinted),
         # for wire/pg.
         self.limits = [operation.time_limit for operation in self.facts.operations]
--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -2,10 +2,10 @@
 applied."""
 
 from .. import host
-from ..interface import GONE, READY
+from ..interface import DRAINING, GONE, READY
 from ..memory import MemoryBudget, Purpose, Reservation
 from ..wire import BadAnswer, http
-from ..wire.platform import decoded_size
+from ..wire.platform import UnreadableEntries, decoded_size
 
 # A change counts as delivered 6 s after the watch became unresponsive, which may be right after its request.
 # By then the watch has timed out (3 + 0.5 s), an unresponsive connection attempt after it has timed out too
@@ -33,6 +33,7 @@
         self.jitter = jitter
         self.log = log
         self.version = 0
+        self.wants_whole = False  # the next request asks for the complete list
         self.entries = {}  # host -> (entry, dial address, start time)
         memory = memory or MemoryBudget()
         self.answer_memory = Reservation(memory, Purpose.LISTING)
@@ -80,6 +81,24 @@
         self.count_entries()
         self.publish(kind or ("whole" if whole else "changes"), tuple(received))
 
+    def take_cautiously(self, error, again):
+        """Applies an UnreadableEntries as far as it stops dispatches: nodes that it lists as draining or gone, and
+        nodes of which it has an unreadable entry, which may say so. Its other entries are not taken from an
+        answer that may be spoilt, unless `again` says that the complete list came so a second time in a row."""
+        version, is_whole, hosts = error.listing
+        doubtful = [self.as_draining(name) for name in error.names if name in self.entries]
+        if again and is_whole:
+            self.take(self.version, True, hosts + doubtful)
+            return
+        stopped = [host for host in hosts if host[0][5] != READY and host[0][0] in self.entries]
+        if stopped or doubtful:
+            self.take(self.version, False, stopped + doubtful)
+
+    def as_draining(self, name):
+        """The listing's entry of a known node, as one that accepts no new dispatches."""
+        entry, dial, start_time = self.entries[name]
+        return (*entry[:5], DRAINING, entry[6]), dial, start_time
+
     def count_entries(self):
         """Counts the memory of the entries that came after the first list."""
         if self.entries_at_start is None:
@@ -94,7 +113,7 @@
 
     def run(self):
         """Watches forever; reconnects with exponential backoff and jitter."""
-        backoff, whole = MIN_BACKOFF, False
+        backoff = MIN_BACKOFF
         while True:
             stream = None
             self.moved = moved = host.Once()
@@ -102,11 +121,13 @@
                 stream = host.connect(self.at, CONNECT_TIMEOUT)
                 reusable = True
                 while reusable:
-                    reusable = self.poll(stream, moved, whole)
-                    backoff, whole = MIN_BACKOFF, False
+                    reusable = self.poll(stream, moved)
+                    backoff, self.wants_whole = MIN_BACKOFF, False
             except (OSError, host.Refused, host.Timeout, BadAnswer) as error:
-                # A malformed answer is discarded entirely; the next request asks for the complete list.
-                whole = whole or isinstance(error, BadAnswer)
+                # After a malformed answer the next request asks for the complete list.
+                if isinstance(error, UnreadableEntries):
+                    self.take_cautiously(error, self.wants_whole)
+                self.wants_whole = self.wants_whole or isinstance(error, BadAnswer)
                 if not moved.ready():
                     self.log.info(
                         "discovery connection failed",
@@ -120,11 +141,11 @@
                 host.sleep(backoff * (0.5 + self.jitter.random()))
                 backoff = min(MAX_BACKOFF, 2 * backoff)
 
-    def poll(self, stream, moved, whole):
+    def poll(self, stream, moved):
         """Sends one request and applies its answer. Returns whether the connection can carry another
         request."""
         path = b"/discovery/hosts"
-        if not whole:
+        if not self.wants_whole:
             path += b"?since=%d&timeout_ms=%d" % (self.version, WATCH_TIMEOUT)
         reader = http.AnswerReader(MAX_LISTING_SIZE)
         stream.send(http.request(path, self.at.encode(), [], b"", b"GET"), CONNECT_TIMEOUT)
@@ -134,7 +155,7 @@
             version, is_whole, hosts = self.listing.read(reader.body)
         finally:
             self.answer_memory.release()
-        if whole and not is_whole:
+        if self.wants_whole and not is_whole:
             raise BadAnswer("got changes, but the complete list was requested")
         if is_whole or hosts:
             self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -26,6 +26,7 @@
 # longer, and KILL_DELAY.
 LONGEST_COUNTED_LIMIT, KILL_DELAY = 3000.0, 700.0  # ms
 KILL_MARGIN = 100.0  # ms before that in which the last answers are written
+MIN_RELOAD_BACKOFF, MAX_RELOAD_BACKOFF = 50.0, 1000.0  # ms between readings of a file that cannot be read
 STATUS_INTERVAL = 5000.0  # ms between status lines in the log
 
 
@@ -82,8 +83,15 @@
             self.signals = Signals(start.me, start.peer_listen, self.rounds.put_event, bare=True)
             self.signals.set_peers(start.peers)
             self.rounds.signals = self.signals
+        self.reloads = 0
         self.discovery.take(*start.initial_listing, "kept")
-        self.api.state(False, SUCCEEDED, start.initial_state)
+        if start.unreadable_listing:
+            self.log.warning("known list unreadable", why=str(start.unreadable_listing)[:200])
+            self.discovery.wants_whole = True
+        if start.unreadable_state:
+            self.api.lose_state("configuration", start.unreadable_state)
+        else:
+            self.api.state(False, SUCCEEDED, start.initial_state)
 
     # ---- connections to nodes ----
 
@@ -192,16 +200,36 @@
             )
 
     def reload(self):
-        """SIGHUP: applies the addresses of the configuration file; a file that is not valid changes
-        nothing."""
+        """SIGHUP: applies the addresses of the configuration file. What cannot be read of it changes nothing, and
+        the file is read again until it can be: it may still be being written."""
+        self.reloads += 1
+        if not self.apply_addresses():
+            host.spawn(self.retry_reload, self.reloads)
+
+    def retry_reload(self, number):
+        """Reads the file again with exponential backoff, until it can be read or another SIGHUP takes over."""
+        backoff = MIN_RELOAD_BACKOFF
+        while True:
+            host.sleep(backoff)
+            if number != self.reloads or self.apply_addresses():
+                return
+            backoff = min(MAX_RELOAD_BACKOFF, 2 * backoff)
+
+    def apply_addresses(self):
+        """Applies each address that can be read. Returns whether all can."""
         try:
-            discovery, release_api = config.runtime_addresses(config.read(self.path))
+            discovery, release_api, problems = config.runtime_addresses(config.read(self.path))
         except config.BadSetting as error:
-            self.log.error("configuration rejected", why=str(error))
-            return
-        self.log.info("configuration reloaded", discovery=discovery, release_api=release_api)
-        self.discovery.move(discovery)
-        self.api.move(release_api)
+            discovery, release_api, problems = None, None, [error]
+        for problem in problems:
+            self.log.error("configuration rejected", why=str(problem))
+        if discovery:
+            self.discovery.move(discovery)
+        if release_api:
+            self.api.move(release_api)
+        if not problems:
+            self.log.info("configuration reloaded", discovery=discovery, release_api=release_api)
+        return not problems
 
     def drain(self):
         """SIGTERM: accepts clients for ACCEPT_GRACE, then closes idle connections and answers all requests
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -4,6 +4,7 @@
 """
 
 import re
+from typing import NamedTuple, Optional
 from urllib.parse import parse_qsl, urlencode
 from xml.etree import ElementTree
 
@@ -16,7 +17,9 @@
 VERDICTS = "abstain", "promote", "pause", "abort"
 STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
 REFUSALS = {"limit": FULL, "moot": MOOT, "error": ERROR, "malformed": ERROR}
+MOST_FIELDS = 32  # of a notice
 LINE_LIMIT = 4096  # bytes of a line of the event stream
+NEWS, COUNTS = "news", "counts"  # names of events
 MOST_BUILD = 65535
 MOST_STAGE = 1000
 LONGEST_TIME = 1e15  # ms
@@ -64,18 +67,50 @@
 # ---- the release API ----
 
 
+class PartialState(NamedTuple):
+    """What can be read of a state that cannot be read whole; None for each field that cannot be read."""
+
+    build: Optional[int] = None
+    phase: Optional[int] = None
+    cap: Optional[float] = None
+
+
+class UnreadableState(BadAnswer):
+    """A state was told and cannot be read whole; `partial` is the PartialState."""
+
+    def __init__(self, why, partial=PartialState()):
+        super().__init__(why)
+        self.partial = partial
+
+
 def state(fields):
-    """(stage, age in ms, cap, build, phase) of the newest build, from names and texts or numbers."""
-    phase = fields.get("phase")
-    if phase not in PHASES:
-        raise BadAnswer(f"no phase: {str(phase)[:40]!r}")
-    return (
-        whole_number(fields.get("stage"), "stage", MOST_STAGE),
-        duration(fields.get("age_ms"), "age_ms"),
-        fraction(fields.get("cap"), "cap"),
-        whole_number(fields.get("build"), "build", MOST_BUILD),
-        PHASES.index(phase),
-    )
+    """(stage, age in ms, cap, build, phase) of the newest build, from names and texts or numbers.
+
+    Raises UnreadableState."""
+    readers = {
+        "stage": lambda value: whole_number(value, "stage", MOST_STAGE),
+        "age_ms": lambda value: duration(value, "age_ms"),
+        "cap": lambda value: fraction(value, "cap"),
+        "build": lambda value: whole_number(value, "build", MOST_BUILD),
+        "phase": phase_index,
+    }
+    read, reasons = {}, []
+    for name, reader in readers.items():
+        try:
+            read[name] = reader(fields.get(name))
+        except BadAnswer as error:
+            reasons.append(str(error))
+    if reasons:
+        partial = PartialState(read.get("build"), read.get("phase"), read.get("cap"))
+        raise UnreadableState("; ".join(reasons), partial)
+    return tuple(read.values())
+
+
+def phase_index(name):
+    """The decisions' number of a phase; raises BadAnswer."""
+    if name not in PHASES:
+        raise BadAnswer(f"no phase: {str(name)[:40]!r}")
+    return PHASES.index(name)
 
 
 def counts(fields, operations):
@@ -133,15 +168,16 @@
 
 
 def news(told):
-    """The state that the configuration holds, an object with JSON's numbers."""
+    """The state that the configuration holds, an object with JSON's numbers. Raises UnreadableState."""
     if not isinstance(told, dict):
-        raise BadAnswer("news is no object")
+        raise UnreadableState("news is no object")
     return state(told)
 
 
 class Notices:
-    """The event stream. `feed(bytes)` gives what was told, [(event, {name: text})]; an event that cannot be read is counted
-    in `unread` and left out. Raises BadAnswer where the stream itself cannot be read on."""
+    """The event stream. `feed(bytes)` gives what was told, [(event, {name: text})]. An event whose data cannot be
+    read is counted in `unread`; where its name is known it is told without fields. Raises BadAnswer where the
+    stream itself cannot be read on."""
 
     def __init__(self):
         self.parser, self.line, self.event, self.data, self.told = (
@@ -179,25 +215,30 @@
     def on_line(self, line):
         if not line:
             if self.data is not None:
-                # A plus stands for itself, as in 1e+16: no value has a space.
-                literal = self.data.replace("+", "%2B")
-                pairs = (
-                    parse_qsl(literal, keep_blank_values=True, max_num_fields=32)
-                    if literal.count("&") < 32
-                    else []
-                )
-                if len(dict(pairs)) == len(pairs) > 0:
-                    self.told.append((self.event, dict(pairs)))
-                else:
-                    self.unread += 1
+                self.end_notice()
             self.event, self.data = "", None
             return
         name, _, value = line.partition(b":")
-        value = value.removeprefix(b" ").decode("latin-1")[:LINE_LIMIT]
+        value = value.removeprefix(b" ").decode("latin-1")
         if name == b"event":
-            self.event = value
+            self.event = value[:LINE_LIMIT]
         elif name == b"data":
-            self.data = value if self.data is None else (self.data + "\n" + value)[:LINE_LIMIT]
+            value = value if self.data is None else self.data + "\n" + value
+            self.data = value[: LINE_LIMIT + 1]  # enough to show that it is too long
+
+    def end_notice(self):
+        """Adds the notice that has ended to those told, with no fields where its data cannot be read."""
+        pairs = []
+        # Data that was cut is not read at all: a number without its end is another number.
+        if len(self.data) <= LINE_LIMIT and self.data.count("&") < MOST_FIELDS:
+            # A plus stands for itself, as in 1e+16: no value has a space.
+            literal = self.data.replace("+", "%2B")
+            pairs = parse_qsl(literal, keep_blank_values=True, max_num_fields=MOST_FIELDS)
+        fields = dict(pairs) if len(dict(pairs)) == len(pairs) else {}
+        if not fields:
+            self.unread += 1
+        if fields or self.event in (NEWS, COUNTS):
+            self.told.append((self.event, fields))
 
 
 # ---- discovery ----
@@ -209,6 +250,15 @@
     return len(body) + JSON_VALUE_BYTES * separators
 
 
+class UnreadableEntries(BadAnswer):
+    """A listing of which some entries cannot be read. `listing` is (version, whole, entries) of the others; `names`
+    are those of the unreadable ones, as far as they can be read."""
+
+    def __init__(self, why, listing, names):
+        super().__init__(why)
+        self.listing, self.names = listing, names
+
+
 class Listing:
     """Reads discovery's answers by the names of zones and kinds that the settings have."""
 
@@ -216,20 +266,41 @@
         self.zones, self.kinds = ({name: n for n, name in enumerate(names)} for names in (zones, kinds))
 
     def read(self, body):
-        """(version, whole, [(entry for the decisions but its start, dial, born in Unix ms)])."""
+        """(version, whole, [(entry for the decisions but its start, dial, born in Unix ms)]).
+
+        Raises UnreadableEntries, or BadAnswer where no entry can be read."""
         try:
-            return self.listing(numbers.decode_json(body))
+            document = numbers.decode_json(body)
         except (ValueError, RecursionError) as trouble:
             raise BadAnswer(f"no JSON: {str(trouble)[:100]}") from None
+        return self.listing(document)
 
     def listing(self, told):
-        if not isinstance(told, dict) or "seq" not in told or type(told.get("whole")) is not bool:
+        """What read() returns, from the decoded JSON. Raises the same."""
+        if (
+            not isinstance(told, dict)
+            or isinstance(told.get("seq"), str)
+            or type(told.get("whole")) is not bool
+        ):
             raise BadAnswer("a listing needs seq, a whole number, and whole, true or false")
         version = integer(told.get("seq"), "seq")
         hosts = told.get("hosts")
         if not isinstance(hosts, list):
             raise BadAnswer("hosts is no list")
-        return version, told["whole"], [self.entry(one) for one in hosts]
+        entries, names, reason = [], [], None
+        for one in hosts:
+            try:
+                entries.append(self.entry(one))
+            except BadAnswer as error:
+                reason = reason or str(error)
+                name = one.get("host") if isinstance(one, dict) else None
+                names += [name] if isinstance(name, str) else []
+        if reason and not entries:
+            raise BadAnswer(reason)
+        listing = version, told["whole"], entries
+        if reason:
+            raise UnreadableEntries(reason, listing, names)
+        return listing
 
     def entry(self, one):
         """One entry of a listing, as read() gives it; raises BadAnswer."""
--- a/tests/edge_rig.py
+++ b/tests/edge_rig.py
@@ -284,7 +284,9 @@
             "peers": [],
             "settings": SETTINGS,
             "release_api": {"address": self.platform.at, "news": NEWS},
-            "known": json.loads(self.platform.listing(hosts=None if known else [])),
+            "known": known
+            if isinstance(known, dict)
+            else json.loads(self.platform.listing(hosts=None if known else [])),
         } | more
         self.write()
         self.edge = Edge(config.Start(config.read(self.path), {}), self.path, self.log)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -295,6 +295,14 @@
     assert platform.counts(told[1][1], {"look": 0}) == (57, 900.0, 2, 18.5, 0, 42)
 
 
+def test_a_number_is_never_read_without_its_end():
+    """Against a line past the limit that was cut and read as another number."""
+    reader = platform.Notices()
+    line = b"build=2&stage=0&phase=Progressing&age_ms=1&cap=0." + b"0" * 5000 + b"1"
+    assert reader.feed(b"HTTP/1.1 200 OK\r\n\r\nevent: news\ndata: " + line + b"\n\n") == [("news", {})]
+    assert reader.unread == 1
+
+
 def test_a_line_that_does_not_end_ends_the_stream():
     reader = platform.Notices()
     with pytest.raises(BadAnswer):
@@ -635,6 +643,45 @@
     assert one.client().ask(select("01")) == b"\\x9f03"
 
 
+def answered_with(*hosts):
+    return http.answer(200, [], json.dumps({"seq": 9, "whole": True, "hosts": hosts}).encode())
+
+
+def test_a_node_of_which_an_entry_cannot_be_read_gets_nothing_new(rig):
+    """Against dispatches that go on to draining nodes since one entry spoils the list that says so."""
+    one = rig(PgNode(), PgNode(), PgNode())
+    doubtful, draining = one.host(0, health="?"), one.host(1, health="draining")
+    one.platform.spoil[b"/discovery/hosts"] = [answered_with(doubtful, draining)] + [b"noise"] * 9
+    states = lambda: {name: entry[0][5] for name, entry in one.edge.discovery.entries.items()}  # noqa: E731
+    one.platform.change(one.host(2))
+    one.until(lambda: states() == {"s-0": i.DRAINING, "s-1": i.DRAINING, "s-2": i.READY})
+    # The list that can be read holds again as a whole.
+    one.until(lambda: set(states().values()) == {i.READY}, 10000)
+
+
+def test_an_entry_that_stays_unreadable_keeps_no_other_out(rig):
+    """Against a fleet whose new nodes are never used, as one field of one entry is wrong in each list."""
+    one = rig(PgNode(), PgNode())
+    listed = one.host(0, block="x"), one.host(1, block=1.0, share=0)
+    one.platform.spoil[b"/discovery/hosts"] = [answered_with(*listed)] * 1000
+    one.platform.change(one.host(1))
+    one.until(lambda: one.edge.discovery.entries["s-1"][0][4] == 1)
+    one.until(lambda: one.edge.discovery.entries["s-0"][0][5] == i.DRAINING)
+    assert one.client().ask(select("01")) == b"\\x9f03" and not one.nodes[0].seen
+
+
+@pytest.mark.parametrize("seq", [1, float("nan")], ids=str)
+def test_a_known_list_that_cannot_be_read_whole_is_asked_for(rig, seq):
+    """Against a proxy that ends at its start, or one that is told changes of entries that it never read."""
+    platform_hosts = [{"host": "s-0", "dial": 5}, {"host": "s-1", "dial": "127.0.0.1:1"}]
+    one = rig(PgNode(), known={"seq": seq, "whole": True, "hosts": platform_hosts})
+    assert one.log.said("known list unreadable")
+    one.until(lambda: one.edge.discovery.entries)
+    lists = [path for path, _ in one.platform.asked if path.startswith(b"/discovery")]
+    assert lists[0] == b"/discovery/hosts"
+    assert one.client().ask(select("01")) == b"\\x9f03"
+
+
 # ---- the release API ----
 
 
