Counts of any size keep their failures, and peers' reports cannot end a round

What callers saw: a build of which a tenth of 5,000 counted attempts failed looked sound, and a count of 10^9 takes some 8 GB; a peer's report on an outcome group that does not exist ended the judge's round with an IndexError, which throws away what it knew.

Cause: `tally` laid out each counted outcome, failures first, and kept the last 400 of them; `peer` checked nothing.

Change: of a tally past 400 outcomes 400 are laid out in proportion, failures rounded up; up to 400 all is as it was. A report on an unknown operation or group is ignored.

--- a/gannetfront/balance.py
+++ b/gannetfront/balance.py
@@ -48,6 +48,7 @@
 EARLIER_BUILD_WEIGHT = 0.25  # weight of earlier builds' servers while the trial may take all traffic
 # From the newest server's start to a vote to promote; at the last stage, from when that server is warm.
 SETTLE_MS = 3000.0
+MAX_TALLIED = 400  # outcomes of a build and operation that are kept of the platform's tallies
 SAMPLE_LIFETIME_MS = 6000.0  # older samples of a server no longer describe it
 COUNTING_SPAN_MS = 4000.0  # over which arrivals and timely answers are counted
 SWEEP_PERIOD_MS = 100.0
@@ -406,20 +407,27 @@
         if attempts > bad:
             self.times_taken[operation].append((self.now, took))
         unit = (end, int(end / 1000) % JACKKNIFE_GROUPS)
-        self.tallied.setdefault((build, operation), deque(maxlen=400)).extend(
+        if attempts > MAX_TALLIED:
+            # In proportion: the successes of a large tally would push all of its failures out.
+            attempts, bad = MAX_TALLIED, -(-bad * MAX_TALLIED // attempts)
+        self.tallied.setdefault((build, operation), deque(maxlen=MAX_TALLIED)).extend(
             [(*unit, ERROR, None)] * bad + [(*unit, None, None if young else took)] * (attempts - bad)
         )
         self.evidence_stale = self.evidence_stale or build == self.version
 
     def peer(self, sender, payload):
-        """Outcomes that another balancer reported to this judge, three bytes each; see record_outcome()."""
+        """Outcomes that another balancer reported to this judge, three bytes each; see record_outcome(). A report
+        on an unknown operation or group is ignored."""
         version = int.from_bytes(payload[:2], "big")
         size = len(payload)
         for flags, operation, took in zip(payload[2:size:3], payload[3:size:3], payload[4:size:3]):
+            group = flags >> 4
+            if operation >= len(self.operations) or group >= JACKKNIFE_GROUPS:
+                continue
             self.store_outcome(
                 version - 1 + (flags & 1),
                 operation,
-                flags >> 4,
+                group,
                 REPORTED_STATUSES[flags >> 1 & 3],
                 2 ** (took / 16) * (took > 0),
             )
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -11,6 +11,7 @@
 from gannetfront.edge import config
 from gannetfront.tenants import views
 from gannetfront.wire import http, invocation, numbers, pg, platform
+from helpers import BalancerHarness
 
 EXAMPLES = settings(max_examples=150, deadline=None, derandomize=True)
 OPERATIONS = {"look": 0}
@@ -209,6 +210,27 @@
     assert start.facts.dispatch_cap == codec.LARGEST_INTEGER and start.most_held == config.MOST_HELD
 
 
+@pytest.mark.parametrize("count", [10, 400, 5000, 10**12])
+def test_the_failures_of_a_large_count_are_kept(count):
+    """Against a count whose successes pushed its failures out, or that takes all memory."""
+    harness = BalancerHarness({})
+    harness.queue.append(("tally", count, 0.0, count // 10, 5.0, 0, 2))
+    harness.flush()
+    [outcomes] = harness.balancer.tallied.values()
+    assert sum(outcome[2] == i.ERROR for outcome in outcomes) * 10 == len(outcomes) == min(count, 400)
+
+
+@EXAMPLES
+@given(st.binary(max_size=260))
+def test_signals_of_any_bytes_are_read_and_judged(payload):
+    """Against a group past the last one, which ended the round with an IndexError."""
+    harness = BalancerHarness({})
+    harness.run("stage 0 0.5 2")
+    harness.queue.append(("peer", 1, (2).to_bytes(2, "big") + payload))
+    harness.wait(2000)
+    assert all(operation < 3 for _, operation in harness.balancer.observed)
+
+
 def test_reports_and_directory_values_are_read_by_the_same_rules():
     reply = pg.Reply(1 << 18)
     reply.feed(pg.message(b"S", b"server_load\0inflight=7,util=6.1e-01\0"))
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -218,9 +218,27 @@
     assert webhooks.check(PIPELINE, headers, body, 1000.0, 300.0) == (delivery_id, 7)
 
 
+def test_a_build_is_read_in_every_spelling_of_a_whole_number():
+    for body in (b'{"build": 7.0}', b'{"build": 70E-1, "size": NaN}'):
+        assert webhooks.check(PIPELINE, github_headers(body), body, 1000.0, 300.0) == ("d1", 7)
+
+
+def signed_at(timestamp):
+    """A delivery whose signature is right for this text of a timestamp."""
+    signature = hmac.digest(SECRET, b"d1." + timestamp + b"." + BODY, "sha256")
+    return [
+        (b"webhook-id", b"d1"),
+        (b"webhook-timestamp", timestamp),
+        (b"webhook-signature", b"v1," + base64.b64encode(signature)),
+    ]
+
+
 @pytest.mark.parametrize(
     "headers, body, status",
     [
+        (signed_at(b"100\xb2"), BODY, 400),  # a superscript is a digit, but not one of a number
+        (github_headers(b'{"build": 7.5}'), b'{"build": 7.5}', 422),
+        (github_headers(b'{"build": "7"}'), b'{"build": "7"}', 422),
         ([], BODY, 401),
         (standard_webhook_headers(BODY), b'{"build": 8}', 401),
         (standard_webhook_headers(BODY, secret=b"x" * 16), BODY, 401),
