A state that is lost with its stream, or in a notice of another name, stops the exposure too

What callers saw: where the stream of notices was spoilt, or ended within a notice, or told a state under a name that was spoilt, the cap before it went on until a new stream told the state, and for ever where that was spoilt as well.

Cause: only the fields of a notice called news were looked at.

Change: the reader says whether a notice has begun; the stream's own failure and a state under another name count as an unreadable state, with the block and the new stream of. A stream that was replaced says nothing.

--- a/gannetfront/edge/api.py
+++ b/gannetfront/edge/api.py
@@ -175,6 +175,8 @@
                 self.log.info(
                     "notice stream failed", at=self.at, why=str(error)[:200] or type(error).__name__
                 )
+                if isinstance(error, BadAnswer):
+                    self.lose_state("notice stream", error)
             host.sleep(backoff * (0.5 + self.jitter.random()))
             backoff = min(MAX_BACKOFF, 2 * backoff)
 
@@ -198,9 +200,11 @@
                 if reader.ended:
                     return accepted
         finally:
+            stream.close()
             if self.stream is stream:
                 self.stream = None
-            stream.close()
+                if reader.begun:
+                    self.lose_state("notice stream", "it ended within a notice")
 
     def on_notice(self, event, fields):
         try:
@@ -209,6 +213,8 @@
                 self.reopen_backoff = MIN_BACKOFF
             elif event == platform.COUNTS:
                 self.put_event("tally", *platform.counts(fields, self.operations))
+            elif platform.holds_state(fields):
+                raise platform.UnreadableState("a state in a notice of another name")
             else:
                 self.log.info("unknown notice", notice=event[:20])
         except platform.UnreadableState as error:
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -174,10 +174,15 @@
     return state(told)
 
 
+def holds_state(fields):
+    """Whether a notice has fields that only a state has, whatever its name."""
+    return not fields.keys().isdisjoint(("stage", "phase", "cap"))
+
+
 class Notices:
     """The event stream. `feed(bytes)` gives what was told, [(event, {name: text})]. An event whose data cannot be
-    read is counted in `unread`; where its name is known it is told without fields. Raises BadAnswer where the
-    stream itself cannot be read on."""
+    read is counted in `unread` and told without fields. Raises BadAnswer where the stream itself cannot be read
+    on."""
 
     def __init__(self):
         self.parser, self.line, self.event, self.data, self.told = (
@@ -237,9 +242,15 @@
         fields = dict(pairs) if len(dict(pairs)) == len(pairs) else {}
         if not fields:
             self.unread += 1
-        if fields or self.event in (NEWS, COUNTS):
+        if self.data or self.event in (NEWS, COUNTS):
             self.told.append((self.event, fields))
 
+    @property
+    def begun(self):
+        """Whether a notice has come in part."""
+        line = self.line.strip()
+        return bool(self.event) or self.data is not None or line[:1] not in (b"", b":")
+
 
 # ---- discovery ----
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -728,6 +728,35 @@
     one.until(lambda: len(one.platform.streams) == 2)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"9\r\ndata: bui\r\n",
+        b"zz\r\n",
+        b"28\r\nevent: nwes\ndata: phase=Aborting&cap=0\n\n\r\n",
+        b"1b\r\nevent: news\ndata: a=1&a=2\n\n\r\n",
+    ],
+    ids=["end", "noise", "other name", "twice"],
+)
+def test_a_state_that_is_lost_on_its_way_stops_the_exposure_until_it_is_told(rig, data):
+    """Against the earlier cap that goes on as the stream breaks within a notice or is spoilt."""
+    one = rig(PgNode())
+    one.until(lambda: one.platform.streams)
+    one.platform.tell(build=2, stage=0, phase="Progressing", cap=0.5, age_ms=1)
+    balancer = one.edge.rounds.balancer
+    one.until(lambda: balancer.version == 2)
+    text, one.platform.state_text = one.platform.state_text, b""
+    for stream in list(one.platform.streams):
+        stream.send(data, 1000)
+        stream.close()
+    one.until(lambda: balancer.trial_blocked)
+    assert one.log.said("release state unreadable")
+    one.platform.notice(text)
+    one.until(lambda: len(one.platform.streams) > 1)
+    one.platform.notice(text)
+    one.until(lambda: not balancer.trial_blocked)
+
+
 # ---- configuration and life ----
 
 
