An unreadable change alone in its listing drains its node; fields are read by one table each

What callers saw: where the one entry of a change could not be read whole, the node that it says is draining went on getting requests for as long as no other listing could be read.

Cause: a listing without any readable entry was taken for noise, also where its entries name their nodes.

Change: such a listing is treated as the others with unreadable entries. With it goes what earlier work left in wire/platform.py: the checks of a state, of counts and of an entry stood three times in three shapes; each is now a table of field and reader, read by one function, and the reason names every field that is wrong.

--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -87,7 +87,7 @@
         answer that may be spoilt, unless `again` says that the complete list came so a second time in a row."""
         version, is_whole, hosts = error.listing
         doubtful = [self.as_draining(name) for name in error.names if name in self.entries]
-        if again and is_whole:
+        if again and is_whole and hosts:
             self.take(self.version, True, hosts + doubtful)
             return
         stopped = [host for host in hosts if host[0][5] != READY and host[0][0] in self.entries]
--- a/gannetfront/wire/platform.py
+++ b/gannetfront/wire/platform.py
@@ -1,6 +1,7 @@
-"""The platform's words without I/O: the release API's forms, XML and event stream, and discovery's JSON.
+"""Codecs of the release API (forms, XML and an event stream) and of the discovery service (JSON). No I/O.
 
-Everything is read whole and checked, or BadAnswer is raised and nothing of it holds.
+What cannot be read whole raises BadAnswer. Its subclasses UnreadableState and UnreadableEntries hold the part
+that can be read, for callers that must not go on as if nothing had been told.
 """
 
 import re
@@ -17,51 +18,66 @@
 VERDICTS = "abstain", "promote", "pause", "abort"
 STATES = {"up": READY, "draining": DRAINING, "removed": GONE}
 REFUSALS = {"limit": FULL, "moot": MOOT, "error": ERROR, "malformed": ERROR}
-MOST_FIELDS = 32  # of a notice
+MAX_FIELDS = 32  # of a notice
 LINE_LIMIT = 4096  # bytes of a line of the event stream
 NEWS, COUNTS = "news", "counts"  # names of events
-MOST_BUILD = 65535
-MOST_STAGE = 1000
+MAX_BUILD = 65535
+MAX_STAGE = 1000
+MAX_NAME_LENGTH = 256  # characters of a node's name
+DIAL_ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
 LONGEST_TIME = 1e15  # ms
-LEAST_WEIGHT, MOST_WEIGHT = 1e-9, 1e9  # of a server; weights are divided by one another
+MIN_WEIGHT, MAX_WEIGHT = 1e-9, 1e9  # of a server; weights are divided by one another
 JSON_VALUE_BYTES = 64  # of a decoded value or container, on average at most
 
 
-def integer(value, what):
-    """Any whole number; raises BadAnswer."""
-    try:
-        return numbers.whole_number(value)
-    except ValueError as error:
-        raise BadAnswer(f"{what} is {error}") from None
+# ---- fields: each reader takes a number or its decimal text, and raises ValueError ----
+
+
+def whole_number(most=None):
+    """A reader of whole numbers from 0 to `most`, without a limit where it is None."""
 
+    def read(value):
+        whole = numbers.whole_number(value)
+        if whole < 0 or (most is not None and whole > most):
+            raise ValueError(f"out of range: {str(value)[:40]!r}")
+        return whole
 
-def whole_number(value, what, most=None):
-    """A whole number from 0 to `most`, without a limit where it is None; raises BadAnswer."""
-    whole = integer(value, what)
-    if whole < 0 or (most is not None and whole > most):
-        raise BadAnswer(f"{what} is out of range: {str(value)[:40]!r}")
-    return whole
+    return read
 
 
-def fraction(value, what):
-    """A number from 0 to 1; raises BadAnswer."""
-    share = number(value, what)
+def fraction(value):
+    """A number from 0 to 1."""
+    share = numbers.number(value)
     if not 0 <= share <= 1:
-        raise BadAnswer(f"{what} is out of range: {str(value)[:40]!r}")
+        raise ValueError(f"out of range: {str(value)[:40]!r}")
     return share
 
 
-def duration(value, what):
-    """A time span in ms from 0 to LONGEST_TIME, the nearest end where it is outside; raises BadAnswer."""
-    return min(max(number(value, what), 0.0), LONGEST_TIME)
+def duration(value):
+    """A time span in ms from 0 to LONGEST_TIME, the nearest end where it is outside."""
+    return min(max(numbers.number(value), 0.0), LONGEST_TIME)
 
 
-def number(value, what):
-    """Any finite number; raises BadAnswer."""
-    try:
-        return numbers.number(value)
-    except ValueError as error:
-        raise BadAnswer(f"{what} is {error}") from None
+def one_of(values):
+    """A reader of texts that gives the value of each."""
+
+    def read(name):
+        if not isinstance(name, str) or name not in values:
+            raise ValueError(f"unknown: {str(name)[:40]!r}")
+        return values[name]
+
+    return read
+
+
+def read_fields(told, readers):
+    """({name: value} of the fields that can be read, [reason for each of the others])."""
+    values, reasons = {}, []
+    for name, reader in readers.items():
+        try:
+            values[name] = reader(told.get(name))
+        except ValueError as error:
+            reasons.append(f"{name}: {error}")
+    return values, reasons
 
 
 # ---- the release API ----
@@ -83,52 +99,53 @@
         self.partial = partial
 
 
+STATE_READERS = {
+    "stage": whole_number(MAX_STAGE),
+    "age_ms": duration,
+    "cap": fraction,
+    "build": whole_number(MAX_BUILD),
+    "phase": one_of({name: number for number, name in enumerate(PHASES)}),
+}
+COUNTS_READERS = {
+    "count": whole_number(),
+    "failed": whole_number(),
+    "age_ms": duration,
+    "build": whole_number(MAX_BUILD),
+}
+
+
 def state(fields):
     """(stage, age in ms, cap, build, phase) of the newest build, from names and texts or numbers.
 
     Raises UnreadableState."""
-    readers = {
-        "stage": lambda value: whole_number(value, "stage", MOST_STAGE),
-        "age_ms": lambda value: duration(value, "age_ms"),
-        "cap": lambda value: fraction(value, "cap"),
-        "build": lambda value: whole_number(value, "build", MOST_BUILD),
-        "phase": phase_index,
-    }
-    read, reasons = {}, []
-    for name, reader in readers.items():
-        try:
-            read[name] = reader(fields.get(name))
-        except BadAnswer as error:
-            reasons.append(str(error))
+    values, reasons = read_fields(fields, STATE_READERS)
     if reasons:
-        partial = PartialState(read.get("build"), read.get("phase"), read.get("cap"))
+        partial = PartialState(values.get("build"), values.get("phase"), values.get("cap"))
         raise UnreadableState("; ".join(reasons), partial)
-    return tuple(read.values())
-
-
-def phase_index(name):
-    """The decisions' number of a phase; raises BadAnswer."""
-    if name not in PHASES:
-        raise BadAnswer(f"no phase: {str(name)[:40]!r}")
-    return PHASES.index(name)
+    return tuple(values.values())
 
 
 def counts(fields, operations):
-    """The decisions' (dispatches, age, bad, mean time, operation, build); `operations` maps names to an index."""
-    if fields.get("class") not in operations:
-        raise BadAnswer(f"no class: {str(fields.get('class'))[:40]!r}")
-    all_of, bad = whole_number(fields.get("count"), "count"), whole_number(fields.get("failed"), "failed")
-    if bad > all_of:
-        raise BadAnswer("more failed than were counted")
+    """The decisions' (dispatches, age, bad, mean time, operation, build); `operations` maps names to an index.
+
+    Raises BadAnswer."""
+    values, reasons = read_fields(fields, COUNTS_READERS | {"class": one_of(operations)})
+    if not reasons and values["failed"] > values["count"]:
+        reasons = ["failed: more than were counted"]
+    mean_time = 0.0
     # The mean of no attempts at all is no number everywhere: failures alone are read without it.
-    mean_time = duration(fields.get("mean_ms"), "mean_ms") if bad < all_of else 0.0
+    if not reasons and values["failed"] < values["count"]:
+        means, reasons = read_fields(fields, {"mean_ms": duration})
+        mean_time = means.get("mean_ms")
+    if reasons:
+        raise BadAnswer("; ".join(reasons))
     return (
-        all_of,
-        duration(fields.get("age_ms"), "age_ms"),
-        bad,
+        values["count"],
+        values["age_ms"],
+        values["failed"],
         mean_time,
-        operations[fields["class"]],
-        whole_number(fields.get("build"), "build", MOST_BUILD),
+        values["class"],
+        values["build"],
     )
 
 
@@ -185,14 +202,14 @@
     on."""
 
     def __init__(self):
-        self.parser, self.line, self.event, self.data, self.told = (
-            httptools.HttpResponseParser(self),
-            b"",
-            "",
-            None,
-            [],
-        )
-        self.unread, self.ended, self.good = 0, False, False
+        self.parser = httptools.HttpResponseParser(self)
+        self.line = b""  # the last line, which has come in part
+        self.event = ""
+        self.data = None
+        self.told = []
+        self.unread = 0
+        self.ended = False
+        self.good = False  # the status is 200
 
     def feed(self, data):
         try:
@@ -235,10 +252,10 @@
         """Adds the notice that has ended to those told, with no fields where its data cannot be read."""
         pairs = []
         # Data that was cut is not read at all: a number without its end is another number.
-        if len(self.data) <= LINE_LIMIT and self.data.count("&") < MOST_FIELDS:
+        if len(self.data) <= LINE_LIMIT and self.data.count("&") < MAX_FIELDS:
             # A plus stands for itself, as in 1e+16: no value has a space.
             literal = self.data.replace("+", "%2B")
-            pairs = parse_qsl(literal, keep_blank_values=True, max_num_fields=MOST_FIELDS)
+            pairs = parse_qsl(literal, keep_blank_values=True, max_num_fields=MAX_FIELDS)
         fields = dict(pairs) if len(dict(pairs)) == len(pairs) else {}
         if not fields:
             self.unread += 1
@@ -274,83 +291,116 @@
     """Reads discovery's answers by the names of zones and kinds that the settings have."""
 
     def __init__(self, zones, kinds):
-        self.zones, self.kinds = ({name: n for n, name in enumerate(names)} for names in (zones, kinds))
+        zone_numbers, kind_numbers = (
+            {name: number for number, name in enumerate(names)} for names in (zones, kinds)
+        )
+        self.readers = {
+            "host": node_name,
+            "dial": dial_address,
+            "site": one_of(zone_numbers),
+            "class": one_of(kind_numbers),
+            "block": json_only(numbers.whole_number),
+            "health": one_of(STATES),
+            "share": json_only(weight),
+            "born_ms": json_only(start_time),
+            "revision_no": json_only(whole_number(MAX_BUILD)),
+        }
 
     def read(self, body):
         """(version, whole, [(entry for the decisions but its start, dial, born in Unix ms)]).
 
-        Raises UnreadableEntries, or BadAnswer where no entry can be read."""
+        Raises UnreadableEntries, or BadAnswer where the listing itself cannot be read."""
         try:
             document = numbers.decode_json(body)
-        except (ValueError, RecursionError) as trouble:
-            raise BadAnswer(f"no JSON: {str(trouble)[:100]}") from None
+        except (ValueError, RecursionError) as error:
+            raise BadAnswer(f"no JSON: {str(error)[:100]}") from None
         return self.listing(document)
 
-    def listing(self, told):
+    def listing(self, document):
         """What read() returns, from the decoded JSON. Raises the same."""
-        if (
-            not isinstance(told, dict)
-            or isinstance(told.get("seq"), str)
-            or type(told.get("whole")) is not bool
-        ):
-            raise BadAnswer("a listing needs seq, a whole number, and whole, true or false")
-        version = integer(told.get("seq"), "seq")
-        hosts = told.get("hosts")
-        if not isinstance(hosts, list):
-            raise BadAnswer("hosts is no list")
-        entries, names, reason = [], [], None
-        for one in hosts:
+        if not isinstance(document, dict):
+            raise BadAnswer("a listing is no object")
+        values, reasons = read_fields(document, LISTING_READERS)
+        if reasons:
+            raise BadAnswer("; ".join(reasons))
+        entries, names, reasons = [], [], []
+        for told in values["hosts"]:
             try:
-                entries.append(self.entry(one))
+                entries.append(self.entry(told))
             except BadAnswer as error:
-                reason = reason or str(error)
-                name = one.get("host") if isinstance(one, dict) else None
-                names += [name] if isinstance(name, str) else []
-        if reason and not entries:
-            raise BadAnswer(reason)
-        listing = version, told["whole"], entries
-        if reason:
-            raise UnreadableEntries(reason, listing, names)
+                reasons.append(str(error))
+                names += read_fields(told, {"host": node_name})[0].values() if isinstance(told, dict) else ()
+        listing = values["seq"], values["whole"], entries
+        if entries + names and reasons:
+            raise UnreadableEntries(reasons[0], listing, names)
+        if reasons:
+            raise BadAnswer(reasons[0])
         return listing
 
-    def entry(self, one):
+    def entry(self, told):
         """One entry of a listing, as read() gives it; raises BadAnswer."""
-        if not isinstance(one, dict):
+        if not isinstance(told, dict):
             raise BadAnswer("an entry is no object")
-        get = one.get
+        values, reasons = read_fields(told, self.readers)
+        if reasons:
+            raise BadAnswer("an entry's " + "; ".join(reasons))
+        entry = tuple(
+            values[name] for name in ("host", "site", "revision_no", "class", "block", "health", "share")
+        )
+        return entry, values["dial"], values["born_ms"]
 
-        def among(name, words):
-            return isinstance(get(name), str) and get(name) in words
 
-        def told(name):
-            return None if isinstance(get(name), str) else get(name)
+def json_only(reader):
+    """A reader that takes no decimal text in place of a number."""
 
-        fits = (
-            isinstance(get("host"), str) and 0 < len(get("host")) <= 256,
-            isinstance(get("dial"), str) and re.fullmatch(r"[0-9.]{7,15}:[0-9]{1,5}", get("dial")),
-            among("site", self.zones),
-            among("class", self.kinds),
-            among("health", STATES),
-        )
-        for name, fit in zip("host dial site class health".split(), fits):
-            if not fit:
-                raise BadAnswer(f"an entry's {name} cannot be {str(get(name))[:40]!r}")
-        weight, start_time = (
-            number(told("share"), "an entry's share"),
-            number(told("born_ms"), "an entry's born_ms"),
-        )
-        if start_time < 0:
-            raise BadAnswer(f"an entry's born_ms is out of range: {start_time}")
-        return (
-            (
-                one["host"],
-                self.zones[one["site"]],
-                whole_number(told("revision_no"), "an entry's revision_no", MOST_BUILD),
-                self.kinds[one["class"]],
-                integer(told("block"), "an entry's block"),
-                STATES[one["health"]],
-                min(max(weight, LEAST_WEIGHT), MOST_WEIGHT),
-            ),
-            one["dial"],
-            min(start_time, LONGEST_TIME),
-        )
+    def read(value):
+        if isinstance(value, str):
+            raise ValueError(f"text in place of a number: {value[:40]!r}")
+        return reader(value)
+
+    return read
+
+
+def instance_of(kind):
+    """A reader of values of one type of JSON."""
+
+    def read(value):
+        if type(value) is not kind:
+            raise ValueError(f"not of type {kind.__name__}: {str(value)[:40]!r}")
+        return value
+
+    return read
+
+
+def node_name(value):
+    """A node's name."""
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_NAME_LENGTH:
+        raise ValueError(f"no name: {str(value)[:40]!r}")
+    return value
+
+
+def dial_address(value):
+    """The address at which a node listens."""
+    if not isinstance(value, str) or not DIAL_ADDRESS.fullmatch(value):
+        raise ValueError(f"no address: {str(value)[:40]!r}")
+    return value
+
+
+def weight(value):
+    """A server's weight, within the range in which weights can be compared."""
+    return min(max(numbers.number(value), MIN_WEIGHT), MAX_WEIGHT)
+
+
+def start_time(value):
+    """When a node last started, in Unix ms; 0 for long ago."""
+    born = numbers.number(value)
+    if born < 0:
+        raise ValueError(f"out of range: {born}")
+    return min(born, LONGEST_TIME)
+
+
+LISTING_READERS = {
+    "seq": json_only(numbers.whole_number),
+    "whole": instance_of(bool),
+    "hosts": instance_of(list),
+}
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -659,6 +659,16 @@
     one.until(lambda: set(states().values()) == {i.READY}, 10000)
 
 
+def test_a_change_that_cannot_be_read_stops_dispatches_to_its_node(rig):
+    """Against the drain of a node that is told with one wrong field, alone in its listing."""
+    one = rig(PgNode(), PgNode())
+    one.until(lambda: one.platform.watchers)
+    one.platform.spoil[b"/discovery/hosts"] = [b"noise"] * 1000
+    one.platform.change(one.host(0, health="draining", born_ms="?"))
+    one.until(lambda: one.edge.discovery.entries["s-0"][0][5] == i.DRAINING)
+    assert one.edge.discovery.entries["s-1"][0][5] == i.READY
+
+
 def test_an_entry_that_stays_unreadable_keeps_no_other_out(rig):
     """Against a fleet whose new nodes are never used, as one field of one entry is wrong in each list."""
     one = rig(PgNode(), PgNode())
--- a/tests/test_numbers.py
+++ b/tests/test_numbers.py
@@ -22,7 +22,7 @@
 
 
 FRACTIONS, DURATIONS = finite(0.0, 1.0), finite(0.0, platform.LONGEST_TIME)
-BUILDS = st.integers(0, platform.MOST_BUILD)
+BUILDS = st.integers(0, platform.MAX_BUILD)
 
 
 def spelled(number):
@@ -145,7 +145,7 @@
     fields = ",".join(f'"{name}":{text}' for name, text in texts.items())
     host = f'{{"host":"s","dial":"127.0.0.1:1","site":"a","class":"m","health":"up",{fields}}}'
     listing = platform.Listing(["a"], ["m"]).read(f'{{"seq":{version},"whole":true,"hosts":[{host}]}}')
-    weight = min(max(entry["share"], platform.LEAST_WEIGHT), platform.MOST_WEIGHT)
+    weight = min(max(entry["share"], platform.MIN_WEIGHT), platform.MAX_WEIGHT)
     read = ("s", 0, entry["revision_no"], 0, entry["block"], i.READY, weight)
     assert listing == (
         entry["seq"],
