A block on builds on trial outlives a restart of the decisions

Cause: decisions that begin anew were given the list of nodes first and the release state after it; a round between the two saw builds on trial under the first stage's cap, and no block. The greenlet that gave both also empties the mailbox that it would wait for.

Change: the state goes first, both from a greenlet of their own.

--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -84,7 +84,8 @@
     def take_cautiously(self, error, again):
         """Applies an UnreadableEntries as far as it stops dispatches: nodes that it lists as draining or gone, and
         nodes of which it has an unreadable entry, which may say so. Its other entries are not taken from an
-        answer that may be spoilt, unless `again` says that the complete list came so a second time in a row."""
+        answer that may be spoilt, unless `again` says that the answer before it could not be read either and this
+        is the complete list."""
         version, is_whole, hosts = error.listing
         doubtful = [self.as_draining(name) for name in error.names if name in self.entries]
         if again and is_whole and hosts:
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -129,11 +129,16 @@
         return self.pools.size() < self.budget.max_node_connections or self.pools.close_oldest_idle()
 
     def refill(self):
-        """Gives a restarted balancer the list of nodes and the release state."""
+        """Gives a restarted balancer the release state and the list of nodes, in a greenlet of its own: the caller
+        empties the mailbox, for room in which this may wait."""
+        host.spawn(self.tell_state_and_nodes)
+
+    def tell_state_and_nodes(self):
+        # The state first: without it a build on trial gets the first stage's cap.
+        self.api.state(False, SUCCEEDED)
         self.rounds.put_event(
             "listed", "whole", tuple(entry for entry, _, _ in self.discovery.entries.values())
         )
-        self.api.state(False, SUCCEEDED)
 
     # ---- lifecycle ----
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -767,6 +767,27 @@
     one.until(lambda: not balancer.trial_blocked)
 
 
+def test_a_block_outlives_a_restart_of_the_decisions(rig):
+    """Against decisions that begin anew with the first stage's cap while the state cannot be read."""
+    one = rig(PgNode())
+    one.until(lambda: one.platform.streams)
+    one.platform.tell(build=2, stage=0, phase="Progressing", cap="?", age_ms=1)
+    one.until(lambda: one.edge.rounds.balancer.trial_blocked)
+    failed = one.edge.rounds.balancer
+    seen = []
+    put_event, one.edge.rounds.put_event = one.edge.rounds.put_event, lambda *event: seen.append(event[0])
+    one.edge.api.put_event = one.edge.rounds.put_event
+    one.edge.refill()
+    one.until(lambda: "listed" in seen)
+    assert seen.index("block_trial") < seen.index("listed")
+    one.edge.rounds.put_event = one.edge.api.put_event = put_event
+    failed.round = None
+    one.edge.rounds.wake()
+    put_event("begun")
+    one.until(lambda: one.edge.rounds.balancer is not failed)
+    one.until(lambda: one.edge.rounds.balancer.trial_blocked and one.edge.rounds.balancer.servers)
+
+
 # ---- configuration and life ----
 
 
