States of a rollout are worked out when there is room for them

Cause: a state that waited for room behind 64 others was worked out before it waited.

Change: the wait comes first; a test of the order, which lacked.

--- a/gannetfront/edge/api.py
+++ b/gannetfront/edge/api.py
@@ -43,12 +43,12 @@
         now = host.now()
         if received:
             self.rollout.receive(received, now, now if asked_at is None else asked_at)
-        self.pass_on(self.rollout.events(now, answer, status))
+        while len(self.unsent_events) > MAX_UNSENT_EVENTS:
+            host.sleep(1)
+        self.pass_on(self.rollout.events(host.now(), answer, status))
 
     def pass_on(self, events):
         """Passes events on in the order in which they were made, also where several greenlets wait for room."""
-        while len(self.unsent_events) > MAX_UNSENT_EVENTS:
-            host.sleep(1)
         self.unsent_events += events
         if self.passing_on:
             return
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -767,6 +767,35 @@
     one.until(lambda: not balancer.trial_blocked)
 
 
+def test_states_are_passed_on_in_their_order_while_there_is_no_room():
+    """Against an earlier, bolder state that is put into a full mailbox after the one that ended it."""
+    one, told = api()
+    room = host.Once()
+    waits = [room.wait]  # of the first event only: who comes later finds room at once
+
+    def put_event(*event):
+        if waits:
+            waits.pop()()
+        told.append(event)
+
+    one.put_event = put_event
+    waiting = [host.spawn(one.state, False, i.SUCCEEDED, (0, 0.0, 1.0, 2, i.TRIAL))]
+    host.sleep(0)
+    waiting.append(host.spawn(one.lose_state, "notice", "noise"))
+    host.sleep(0)
+    waiting.append(host.spawn(one.state, False, i.SUCCEEDED, (0, 0.0, 0.1, 2, i.TRIAL)))
+    host.sleep(0)
+    room.set()
+    host.join(waiting, 1000)
+    assert [event[4] if event[0] == "stage_told" else event[1] for event in told[1:]] == [
+        1,
+        True,
+        1,
+        0.1,
+        False,
+    ]
+
+
 def test_a_block_outlives_a_restart_of_the_decisions(rig):
     """Against decisions that begin anew with the first stage's cap while the state cannot be read."""
     one = rig(PgNode())
