A late call to discovery stays open; others are made beside it, and all answers are ordered

Cause: Discovery.read_answer gave each call up 3.5 s after it was written and the next one began anew, so that no answer that took longer was ever read; the same for a connection of over 1 s, a body in pieces, a complete list, the agent of a new address.

Change: edge/watch_schedule.py decides without I/O which calls are open: one beside each late one, three at most, the oldest kept with a patience that doubles, further ones at a slow agent only as it answers. edge/list_order.py judges answers that come in another order; a complete list that changes have overtaken is merged with them. Each call has a greenlet, one greenlet applies the answers. Calls to an earlier address end with the first answer of the new one. Memory of answers is given in the order in which they began to come. The time that a silent watch is waited for is as before (3.5 s); tests/test_endings.py patches the constants where they are now. `list out of date` is logged once after 6 s without an answer; `status` has list_age_ms and the calls.

--- a/gannetfront/edge/discovery.py
+++ b/gannetfront/edge/discovery.py
@@ -1,24 +1,54 @@
 """Client of the discovery service: long-polls the list of nodes and resumes from the last version it
-applied."""
+applied.
+
+Each call runs in a greenlet of its own. One greenlet, run(), owns the list: it applies the answers one after the other
+and makes the calls that the WatchSchedule asks for.
+"""
+
+from typing import NamedTuple, Optional
 
 from .. import host
 from ..interface import DRAINING, GONE, READY
 from ..memory import MemoryBudget, Purpose, Reservation
 from ..wire import BadAnswer, http
 from ..wire.platform import UnreadableEntries, decoded_size
+from . import watch_schedule
+from .list_order import Freshness, ListOrder
+from .watch_schedule import MAX_CALLS, MAX_PATIENCE, Call, WatchSchedule
 
-# A change counts as delivered 6 s after the watch became unresponsive, which may be right after its request.
-# By then the watch has timed out (3 + 0.5 s), an unresponsive connection attempt after it has timed out too
-# (1 s), and another connection has answered. This leaves 1.5 s for a slow event loop.
-WATCH_TIMEOUT = 3000.0  # ms that a watch request may wait for changes
-RESPONSE_GRACE = (
-    500.0  # ms beyond WATCH_TIMEOUT before a new connection is opened, on which the agent answers at once
-)
-CONNECT_TIMEOUT = 1000.0  # ms to connect, and to write a request
 MAX_LISTING_SIZE = 4 << 20  # bytes
 READ_SIZE = 16 << 10  # bytes
 SERVER_BYTES = 3 << 10  # of a listed server, here and in the decision module
-MIN_BACKOFF, MAX_BACKOFF = 10.0, 500.0  # ms between failed attempts; a watch is broken by 200
+MEMORY_RETRY = 20.0  # ms between attempts to reserve memory that another answer holds
+OUT_OF_DATE = (
+    6000.0  # ms without an answer after which that is logged; the platform counts changes as told then
+)
+MAX_RESULTS = 4 * MAX_CALLS  # of calls that ended, and wake-ups
+
+
+class CallResult(NamedTuple):
+    """How a call ended: with an answer in `reader`, or with `error`."""
+
+    call: Call
+    reader: http.AnswerReader
+    error: Optional[Exception]
+
+
+class OpenCall:
+    """A call's greenlet and connection, and the memory of its answer. Times are in ms."""
+
+    def __init__(self, memory, stream):
+        """`stream` is the connection of the call, if it is made on an idle one."""
+        self.memory = Reservation(memory, Purpose.LISTING)
+        self.stream = stream
+        self.greenlet = None
+        self.receiving_since = None
+        self.received_at = None
+
+    def on_received(self):
+        """Some bytes of the answer have come."""
+        self.received_at = host.now()
+        self.receiving_since = self.receiving_since or self.received_at
 
 
 class Discovery:
@@ -32,14 +62,20 @@
         self.pools = pools
         self.jitter = jitter
         self.log = log
-        self.version = 0
-        self.wants_whole = False  # the next request asks for the complete list
+        self.order = ListOrder()
+        self.schedule = WatchSchedule()
+        self.open = {}  # Call -> OpenCall
+        self.results = host.Mailbox(MAX_RESULTS)
+        self.read_at = host.now()  # when an answer was last read
+        self.is_out_of_date = False
+        self.wants_whole = False  # the complete list is asked for
+        self.unreadable_at = 0.0  # when the last answer came that could not be read
         self.entries = {}  # host -> (entry, dial address, start time)
-        memory = memory or MemoryBudget()
-        self.answer_memory = Reservation(memory, Purpose.LISTING)
-        self.entries_memory = Reservation(memory, Purpose.SERVERS)
+        self.memory = memory or MemoryBudget()
+        self.entries_memory = Reservation(self.memory, Purpose.SERVERS)
         self.entries_at_start = None  # the program's own size counts these
-        self.moved = host.Once()
+
+    version = property(lambda self: self.order.version)
 
     def address(self, name):
         """Address at which a node listens. Raises host.Refused for a node that is no longer listed or is
@@ -58,7 +94,8 @@
 
         Start times are wall-clock times of other machines. Each is converted to this process's monotonic
         clock once per incarnation; repeated conversion would make it drift."""
-        received, self.version = [], version
+        self.order.on_applied(version, [entry[0] for entry, _, _ in hosts] if self.awaits_whole() else ())
+        received = []
         for entry, dial, start_time in hosts:
             previous = self.entries.get(entry[0])
             if previous and (previous[0][2], previous[2]) == (entry[2], start_time):
@@ -87,13 +124,15 @@
         answer that may be spoilt, unless `again` says that the answer before it could not be read either and this
         is the complete list."""
         version, is_whole, hosts = error.listing
+        in_force = self.version
         doubtful = [self.as_draining(name) for name in error.names if name in self.entries]
         if again and is_whole and hosts:
-            self.take(self.version, True, hosts + doubtful)
-            return
-        stopped = [host for host in hosts if host[0][5] != READY and host[0][0] in self.entries]
-        if stopped or doubtful:
-            self.take(self.version, False, stopped + doubtful)
+            self.take(in_force, True, hosts + doubtful)
+        else:
+            stopped = [host for host in hosts if host[0][5] != READY and host[0][0] in self.entries]
+            if stopped or doubtful:
+                self.take(in_force, False, stopped + doubtful)
+        self.order.on_applied_in_part(version)
 
     def as_draining(self, name):
         """The listing's entry of a known node, as one that accepts no new dispatches."""
@@ -107,79 +146,227 @@
         self.entries_memory.charge(SERVER_BYTES * max(0, len(self.entries) - self.entries_at_start))
 
     def move(self, at):
-        """Switches to a discovery service at another address; an open watch is interrupted."""
+        """Switches to a discovery service at another address. Open calls to the earlier one end with the first
+        answer of the new one."""
         if at != self.at:
             self.at = at
-            self.moved.set()
+            self.schedule.on_move()
+            if not len(self.results):
+                self.results.put(None)  # wakes run()
 
     def run(self):
-        """Watches forever; reconnects with exponential backoff and jitter."""
-        backoff = MIN_BACKOFF
-        while True:
-            stream = None
-            self.moved = moved = host.Once()
-            try:
-                stream = host.connect(self.at, CONNECT_TIMEOUT)
-                reusable = True
-                while reusable:
-                    reusable = self.poll(stream, moved)
-                    backoff, self.wants_whole = MIN_BACKOFF, False
-            except (OSError, host.Refused, host.Timeout, BadAnswer) as error:
-                # After a malformed answer the next request asks for the complete list.
-                if isinstance(error, UnreadableEntries):
-                    self.take_cautiously(error, self.wants_whole)
-                self.wants_whole = self.wants_whole or isinstance(error, BadAnswer)
-                if not moved.ready():
-                    self.log.info(
-                        "discovery connection failed",
-                        at=self.at,
-                        why=str(error)[:200] or type(error).__name__,
-                    )
-            finally:
-                if stream:
-                    stream.close()
-            if not moved.ready():
-                host.sleep(backoff * (0.5 + self.jitter.random()))
-                backoff = min(MAX_BACKOFF, 2 * backoff)
-
-    def poll(self, stream, moved):
-        """Sends one request and applies its answer. Returns whether the connection can carry another
-        request."""
-        path = b"/discovery/hosts"
-        if not self.wants_whole:
-            path += b"?since=%d&timeout_ms=%d" % (self.version, WATCH_TIMEOUT)
-        reader = http.AnswerReader(MAX_LISTING_SIZE)
-        stream.send(http.request(path, self.at.encode(), [], b"", b"GET"), CONNECT_TIMEOUT)
+        """Watches forever."""
         try:
-            self.read_answer(stream, reader, moved)
-            self.reserve(reader.received_size + decoded_size(reader.body))
-            version, is_whole, hosts = self.listing.read(reader.body)
+            while True:
+                self.make_calls_due()
+                result = self.results.take(self.time_to_wait())
+                if result:
+                    self.on_result(result)
+                self.report_age()
         finally:
-            self.answer_memory.release()
-        if self.wants_whole and not is_whole:
-            raise BadAnswer("got changes, but the complete list was requested")
-        if is_whole or hosts:
-            self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
-            self.take(version, is_whole, hosts)
-        self.version = version
-        return reader.reusable
+            for call in list(self.open):
+                self.give_up(call)
+
+    def time_to_wait(self):
+        """ms until run() has to do something if no call ends before."""
+        wait = self.schedule.next_call_at(self.at) - host.now()
+        if not self.is_out_of_date:
+            wait = min(wait, self.read_at + OUT_OF_DATE - host.now())
+        return max(0.0, wait)
+
+    def list_age(self):
+        """ms since an answer of the discovery service was last read."""
+        return host.now() - self.read_at
+
+    def report_age(self):
+        """Logs once that no answer has been read for long; the list in force goes on to be used."""
+        if self.list_age() >= OUT_OF_DATE and not self.is_out_of_date:
+            self.is_out_of_date = True
+            self.log.warning("list out of date", at=self.at, age_ms=round(self.list_age()), **self.counts())
+
+    def counts(self):
+        """Figures of the calls for a log line: open now, and so far made, answered late and given up."""
+        schedule = self.schedule
+        return {
+            "open_calls": len(schedule.calls),
+            "calls": schedule.made_count,
+            "late": schedule.late_count,
+            "given_up": schedule.given_up_count,
+        }
+
+    # ---- calls ----
+
+    def awaits_whole(self):
+        """Whether a call for the complete list is open."""
+        return any(call.is_whole for call in self.open)
 
-    def read_answer(self, stream, reader, moved):
-        """Reads one answer. Raises BadAnswer where it is not whole, not a success or too large, Timeout where it
-        is late."""
-        deadline = host.now() + WATCH_TIMEOUT + RESPONSE_GRACE
+    def make_calls_due(self):
+        """Makes another call if one is due, on a connection of its own."""
+        now = host.now()
+        if now >= self.schedule.next_call_at(self.at):
+            for call in self.schedule.make_room(now, self.at):
+                self.give_up(call)
+            self.make_call(None)
+
+    def make_call(self, stream):
+        """Makes a call, on the idle connection `stream` if there is one."""
+        now = host.now()
+        is_whole = self.wants_whole and self.schedule.whole_is_due(now, self.at)
+        if is_whole:
+            for other in self.schedule.make_room_for_whole(self.at):
+                self.give_up(other)
+            self.order.on_whole_call(not self.awaits_whole())
+        call = Call(self.at, is_whole, self.version, self.order.applied_count, now, stream is not None)
+        self.schedule.add(call)
+        opened = self.open[call] = OpenCall(self.memory, stream)
+        opened.greenlet = host.spawn(self.perform, call, opened)
+
+    def give_up(self, call):
+        """Ends a call that the schedule has taken out; its greenlet closes the connection."""
+        opened = self.open.pop(call)
+        host.stop(opened.greenlet)
+        if opened.stream:
+            opened.stream.close()
+        opened.memory.release()
+
+    def perform(self, call, opened):
+        """Carries out a call and hands its result to run(). It has no time limit of its own: run() gives it up."""
+        reader, error = http.AnswerReader(MAX_LISTING_SIZE), None
+        try:
+            opened.stream = opened.stream or host.connect(call.address, MAX_PATIENCE)
+            request = http.request(self.path(call), call.address.encode(), [], b"", b"GET")
+            opened.stream.send(request, MAX_PATIENCE)
+            call.is_connected = True
+            self.read_answer(call, opened, reader)
+        except (OSError, host.Refused, host.Timeout, BadAnswer) as failure:
+            error = failure
+        self.results.put(CallResult(call, reader, error))
+
+    def path(self, call):
+        """The path of a call's request."""
+        if call.is_whole:
+            return b"/discovery/hosts"
+        return b"/discovery/hosts?since=%d&timeout_ms=%d" % (call.version, watch_schedule.WATCH_TIMEOUT)
+
+    def read_answer(self, call, opened, reader):
+        """Reads one answer. Raises BadAnswer where it is not whole, not a success or too large."""
         while not reader.whole:
-            self.reserve(reader.received_size + READ_SIZE)
-            data = stream.recv_or(moved, READ_SIZE, deadline - host.now())
-            if data is None:
-                raise host.Timeout()
+            if reader.received_size:
+                self.reserve(call, opened, reader.received_size + READ_SIZE)
+            data = opened.stream.recv(READ_SIZE, MAX_PATIENCE)
             if not data:
                 raise BadAnswer("connection closed before the answer was complete")
+            opened.on_received()
             reader.feed(data)
         if reader.status != 200:
             raise BadAnswer(f"status {reader.status}")
 
-    def reserve(self, size):
-        """Reserves memory for an answer. Raises BadAnswer where there is too little."""
-        if not self.answer_memory.resize(size):
-            raise BadAnswer(f"too little memory for a listing of {size} bytes")
+    def reserve(self, call, opened, size):
+        """Reserves memory for an answer, in the order in which answers began to come: a later one waits for an
+        earlier one that goes on, and is given up for it. Raises BadAnswer where there is too little for one."""
+        while not opened.memory.resize(size):
+            others = [other for other in self.open if other is not call and self.open[other].memory.size]
+            if not others:
+                raise BadAnswer(f"too little memory for a listing of {size} bytes")
+            latest = max(others, key=lambda other: self.open[other].receiving_since)
+            if self.open[latest].receiving_since >= opened.receiving_since:
+                self.take_memory_of(latest)
+            elif watch_schedule.is_late(host.now() - self.open[latest].received_at):
+                self.take_memory_of(latest)
+            else:
+                host.sleep(MEMORY_RETRY)
+
+    def take_memory_of(self, call):
+        """Gives a call up for the memory that its answer holds."""
+        self.schedule.end(call)
+        self.schedule.given_up_count += 1
+        self.give_up(call)
+
+    # ---- results ----
+
+    def on_result(self, result):
+        """Applies what a call was answered, and makes the next one on its connection."""
+        call, reader, error = result
+        if call not in self.open:
+            return  # it was given up in the meantime
+        opened = self.open[call]
+        try:
+            if error:
+                raise error
+            self.apply(call, opened, reader)
+        except (OSError, host.Refused, host.Timeout, BadAnswer) as failure:
+            self.on_failure(call, failure)
+            continues = False
+        else:
+            continues = self.on_answer(call) and reader.reusable
+        del self.open[call]
+        opened.memory.release()
+        if continues:
+            self.make_call(opened.stream)
+        elif opened.stream:
+            opened.stream.close()
+
+    def apply(self, call, opened, reader):
+        """Applies an answer. Raises BadAnswer where it cannot be read."""
+        self.reserve(call, opened, reader.received_size + decoded_size(reader.body))
+        version, is_whole, hosts = self.listing.read(reader.body)
+        if call.is_whole and not is_whole:
+            raise BadAnswer("got changes, but the complete list was requested")
+        freshness = self.order.judge(call, version, is_whole)
+        if freshness is Freshness.NEWEST:
+            self.apply_newest(call, version, is_whole, hosts)
+        elif freshness is Freshness.OLDER_IN_PART:
+            self.log.info("list", whole=True, version=version, nodes=len(hosts), newest=self.version)
+            self.take(self.version, True, self.merge(call, hosts))
+        else:
+            self.log.info("outdated list", version=version, newest=self.order.newest_seen)
+            return
+        if is_whole and call.started_at >= self.unreadable_at:
+            self.wants_whole = False
+
+    def apply_newest(self, call, version, is_whole, hosts):
+        """Applies a listing that is newer than the list in force."""
+        if self.order.begins_anew(version):
+            for other in self.schedule.end_others(call):
+                self.give_up(other)
+        if is_whole or hosts:
+            self.log.info("list", whole=is_whole, version=version, nodes=len(hosts))
+            self.take(version, is_whole, hosts)
+        else:
+            self.order.on_applied(version)
+
+    def merge(self, call, hosts):
+        """The complete list that a call was told, with the entries in force of the nodes that were told of since it
+        was made."""
+        newer = self.order.told_since(call)
+        merged = [host for host in hosts if host[0][0] not in newer]
+        for name in sorted(newer & self.entries.keys()):
+            entry, dial, start_time = self.entries[name]
+            merged.append((entry[:7], dial, start_time))
+        return merged
+
+    def on_answer(self, call):
+        """An answer was read; returns whether the next call may be made on its connection."""
+        self.read_at = host.now()
+        self.is_out_of_date = False
+        continues, ended = self.schedule.on_answer(call, self.read_at, self.at)
+        for other in ended:
+            self.give_up(other)
+        return continues
+
+    def on_failure(self, call, error):
+        """A call failed. After a malformed answer the complete list is asked for."""
+        self.schedule.on_failure(call, host.now(), self.at, self.jitter.random())
+        if isinstance(error, UnreadableEntries) and self.is_news(call, error):
+            self.take_cautiously(error, call.is_whole)
+        if call.address != self.at:
+            return
+        if isinstance(error, BadAnswer):
+            self.wants_whole, self.unreadable_at = True, host.now()
+        why = str(error)[:200] or type(error).__name__
+        self.log.info("discovery connection failed", at=self.at, why=why)
+
+    def is_news(self, call, error):
+        """Whether an UnreadableEntries may say something that the list in force does not."""
+        version, is_whole, _ = error.listing
+        return self.order.judge(call, version, is_whole) is Freshness.NEWEST
--- a/gannetfront/edge/edge.py
+++ b/gannetfront/edge/edge.py
@@ -189,6 +189,8 @@
                     decisions_ms=round(rounds.decision_time - decision_time_before),
                     resident_kb=host.resident_size() >> 10,
                     memory=self.budget.memory.describe(),
+                    list_age_ms=round(self.discovery.list_age()),
+                    discovery=self.discovery.counts(),
                     events=self.events.take_counts(),
                     ends={
                         f"{kind} {operation}": count
--- a/tests/edge_rig.py
+++ b/tests/edge_rig.py
@@ -165,12 +165,7 @@
                 if self.spoil.get(name):
                     stream.send(self.spoil[name].pop(0), 1000)
                 elif name == b"/discovery/hosts":
-                    if b"since=%d" % self.version in path:
-                        watcher = host.Once()
-                        self.watchers.append(watcher)
-                        stream.recv_or(watcher, 1, 10000)
-                    whole = b"since" not in path or b"since=%d&" % (self.version - 1) not in path
-                    stream.send(http.answer(200, [], self.listing() if whole else self.pending), 1000)
+                    self.answer_listing(stream, path)
                 elif name == b"/api/notices":
                     stream.send(
                         b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
@@ -186,6 +181,15 @@
         except (OSError, host.Timeout):
             pass
 
+    def answer_listing(self, stream, path):
+        """Answers a call for the list, a watch as soon as there is a change."""
+        if b"since=%d" % self.version in path:
+            watcher = host.Once()
+            self.watchers.append(watcher)
+            stream.recv_or(watcher, 1, 10000)
+        whole = b"since" not in path or b"since=%d&" % (self.version - 1) not in path
+        stream.send(http.answer(200, [], self.listing() if whole else self.pending), 1000)
+
     def notice(self, text):
         """Sends text on all open notice streams, as one chunk."""
         for stream in self.streams:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -429,12 +429,12 @@
 @pytest.fixture
 def short_watch(monkeypatch):
     for name, span in (("WATCH_TIMEOUT", 60.0), ("RESPONSE_GRACE", 40.0), ("CONNECT_TIMEOUT", 40.0)):
-        monkeypatch.setattr(f"gannetfront.edge.discovery.{name}", span)
+        monkeypatch.setattr(f"gannetfront.edge.watch_schedule.{name}", span)
 
 
 def test_a_silent_watch_is_over_in_time():
     """In the worst order: silent right behind the call, then a connection that never comes up; 6 s by the platform's page."""
-    from gannetfront.edge import discovery as d
+    from gannetfront.edge import watch_schedule as d
 
     assert (
         d.WATCH_TIMEOUT + d.RESPONSE_GRACE + 1.5 * d.MIN_BACKOFF + d.CONNECT_TIMEOUT + 1.5 * 2 * d.MIN_BACKOFF
