A stream of notices that is accepted late is read; a silent one until another is accepted

Of a release API that accepts each stream later no notice was ever read; what it wrote to a stream that had been silent for 3.5 s was lost with that stream.

Change: edge/notice_streams.py has the streams, out of edge/api.py. Requests are made as WatchSchedule says, three open at most; the first accepted stream stands and ends the other requests and the earlier stream, which is read until then.

--- a/gannetfront/edge/api.py
+++ b/gannetfront/edge/api.py
@@ -1,14 +1,14 @@
-"""Client of the release API: sends each vote at most once and reads the stream of notices."""
+"""Client of the release API: sends each vote at most once and takes what the stream of notices tells."""
 
 from .. import host
 from ..interface import ERROR, SUCCEEDED, TIMEOUT
 from ..wire import BadAnswer, asking, http, platform
+from .notice_streams import NoticeStreams
 from .rollout_state import RolloutState
 
-SILENCE_TIMEOUT = 3500.0  # ms without data until the stream counts as lost; heartbeats come each second
 IDLE_TIMEOUT = 4000.0  # ms that an idle connection for votes is kept, less than the platform keeps it
 MAX_UNSENT_EVENTS = 64
-MIN_BACKOFF, MAX_BACKOFF = 20.0, 1000.0  # ms between attempts to open the stream
+MIN_BACKOFF, MAX_BACKOFF = 20.0, 1000.0  # ms until a state that could not be read is asked for anew
 
 
 class ReleaseApi:
@@ -30,12 +30,12 @@
         self.reopening = False
         self.reopen_backoff = MIN_BACKOFF
         self.idle_connection = None
-        self.generation = 0
-        self.stream = None
+        self.streams = NoticeStreams(at, self.on_notice, self.on_lost_notice, jitter, log)
 
     # ---- release state ----
 
     newest = property(lambda self: self.rollout.newest)
+    stream = property(lambda self: self.streams.stream)
 
     def state(self, answer, status, received=None, asked_at=None):
         """Passes on the newest known state; `answer` says whether it comes with the outcome of a vote, which was
@@ -80,19 +80,14 @@
         self.reopen_backoff = min(MAX_BACKOFF, 2 * self.reopen_backoff)
         self.reopening = False
         if self.rollout.unreadable_since is not None:
-            self.listen_anew()
-
-    def listen_anew(self):
-        """Starts another listener; the present one ends with its stream."""
-        self.generation += 1
-        host.spawn(self.listen, self.generation)
+            self.streams.renew()
 
     def move(self, at):
         """Switches to a release API at another address. The old stream stays open until the new one is
         accepted."""
         if at != self.at:
             self.at = at
-            self.listen_anew()
+            self.streams.move(at)
 
     # ---- votes ----
 
@@ -161,50 +156,13 @@
 
     # ---- notices ----
 
-    def listen(self, generation=0):
-        """Reopens the stream of notices whenever it ends, with exponential backoff and jitter.
+    def listen(self):
+        """Keeps a stream of notices open forever."""
+        self.streams.run()
 
-        Ends once move() has started a newer listener; its open stream goes on until the newer one is
-        accepted."""
-        backoff = MIN_BACKOFF
-        while generation == self.generation:
-            try:
-                if self.read_notices(generation):
-                    backoff = MIN_BACKOFF
-            except (OSError, host.Refused, host.Timeout, BadAnswer) as error:
-                self.log.info(
-                    "notice stream failed", at=self.at, why=str(error)[:200] or type(error).__name__
-                )
-                if isinstance(error, BadAnswer):
-                    self.lose_state("notice stream", error)
-            host.sleep(backoff * (0.5 + self.jitter.random()))
-            backoff = min(MAX_BACKOFF, 2 * backoff)
-
-    def read_notices(self, generation):
-        """Reads one stream until it ends. Returns whether it was accepted. Raises OSError, Refused, Timeout
-        or BadAnswer."""
-        stream, reader, accepted = host.connect(self.at, 1000.0), platform.Notices(), False
-        try:
-            stream.send(http.request(b"/api/notices", self.at.encode(), [], b"", b"GET"), 1000.0)
-            while True:
-                data = stream.recv(65536, SILENCE_TIMEOUT)
-                if not data:
-                    return accepted
-                notices = reader.feed(data)
-                if reader.good and not accepted:
-                    accepted, previous, self.stream = True, self.stream, stream
-                    if previous:
-                        previous.close()  # a count that arrives on both streams would be added twice
-                for event, fields in notices:
-                    self.on_notice(event, fields)
-                if reader.ended:
-                    return accepted
-        finally:
-            stream.close()
-            if self.stream is stream:
-                self.stream = None
-                if reader.begun:
-                    self.lose_state("notice stream", "it ended within a notice")
+    def on_lost_notice(self, error):
+        """Part of what the stream told was lost."""
+        self.lose_state("notice stream", error)
 
     def on_notice(self, event, fields):
         try:
