--- a/gannetfront/proxy/links.py
+++ b/gannetfront/proxy/links.py
@@ -3,9 +3,11 @@
 from .. import host
 from ..interface import ERROR, FULL, MOOT, SUCCEEDED, TIMEOUT
 from ..wire import control_pb2 as c, frames
+from .connect_attempts import ConnectAttempts
 
 STATUS_BY_CODE = {c.OK: SUCCEEDED, c.MOOT: MOOT, c.FULL: FULL, c.ERROR: ERROR}
 HEARTBEAT_INTERVAL_MS = 1000.0
+CONNECT_WAIT_MS = 1000.0  # until the next address is tried; the attempt stays open
 PEER_TIMEOUT_MS = 4000.0  # a peer that sends nothing for so long is lost
 
 
@@ -53,6 +55,7 @@
         self.up = False
         self.turned_away = False
         self.stream = None
+        self.attempts = ConnectAttempts()
 
     def set_peer(self, address):
         """Makes `address` the only peer, and closes a stream to any other."""
@@ -63,16 +66,26 @@
 
     def run(self):
         """Connects and reconnects for ever."""
+        try:
+            self.keep_connected()
+        finally:
+            self.attempts.end_all()
+
+    def keep_connected(self):
         delay, index = 50.0, 0
         while True:
             self.turned_away = False
             try:
                 index %= len(self.to)
-                stream = host.connect(self.to[index], 1000)
+                address, stream = self.attempts.connect(self.to[index], self.to, CONNECT_WAIT_MS)
             except host.Refused as error:
                 self.log.info(f"{self.name} unreachable", at=self.to[index], why=error.kind)
                 useful = False
             else:
+                if address not in self.to:
+                    stream.close()  # set_peer() has taken it out meanwhile
+                    continue
+                index = self.to.index(address)
                 useful = self.run_stream(stream) and not self.turned_away
             if useful:
                 delay = 50.0
