At a stop nothing follows the answers that are due; requests that came whole are answered

Change: that error ends only a connection on which nothing is due. Complete messages that nobody has handled or read by then are handled first and refused, so that none of them loses its answer to the close. A connection that gives way to another one gets its error only where nothing is due either, as may_be_ended says.

--- a/gannetfront/edge/session.py
+++ b/gannetfront/edge/session.py
@@ -111,7 +111,7 @@
         connection."""
         while True:
             self.handle_messages()
-            if self.ended_from_outside.ready() and not self.final_answer_queued:
+            if self.ended_from_outside.ready() and self.may_be_ended:
                 error = pg.throttled(self.clients.shortest_retry_advice(), "too many connections", True)
                 self.finish_with(error, "too many connections")
             if self.send_answers():
@@ -228,11 +228,29 @@
         return None
 
     def end_before_kill(self):
-        """The proxy is about to be killed: answers all that is open, and nothing more."""
+        """The proxy is about to be killed: each request that has come whole gets its answer, and nothing follows.
+
+        An error of its own ends only a connection on which nothing is due: behind an answer it would be read as
+        the answer to a request that was never sent."""
+        try:
+            self.handle_rest()
+        except pg.BadMessage as error:
+            self.finish_with(pg.error(error.code, error.why, True), error.code.decode())
         for answer in self.pending:
             if not isinstance(answer, bytes):
                 self.clients.rounds.abandon(answer, "terminated", True)
-        self.finish_with(pg.throttled(0.0, "the proxy stops", True), "stopping")
+        if not self.pending:
+            self.finish_with(pg.throttled(0.0, "the proxy stops", True), "stopping")
+        elif not self.final_answer_queued:
+            self.record("connection closed", "stopping")
+            self.finish()
+
+    def handle_rest(self):
+        """Handles the complete messages that have come, also those that nobody has read. Raises BadMessage."""
+        if self.stream.waiting():
+            self.take_in(self.stream.recv(MAX_READ, 0.0))
+        while message := self.reader.take():
+            self.handle(message)
 
     def wait_unread(self, done, time_left):
         """While draining, only messages that have begun are read on; the client's close is looked for at each
@@ -349,6 +367,10 @@
         """Queues an error as the last answer; whatever comes behind it is dropped."""
         self.record("connection ended with an error", reason)
         self.pending.append(error)
+        self.finish()
+
+    def finish(self):
+        """Nothing is read any more; the connection ends behind the answers that are due."""
         self.final_answer_queued = True
         self.has_backlog = False
         self.begun_at = None
@@ -377,6 +399,8 @@
 
         Raises pg.BadMessage for a malformed statement and for an id that is not free."""
         clients, now = self.clients, host.now()
+        if clients.answer_by is not None and now >= clients.answer_by:
+            return self.refuse("stopping", 0.0)
         operation, uid, invocation_id, time_left, _, content = pg.statement(sql, clients.operations)
         if not clients.ids.take(invocation_id, now):
             raise pg.BadMessage(b"23505", "an invocation with this id is open or may still run")
