--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -1,5 +1,7 @@
 """Memory for the answers of several calls to discovery, which may hold parts of a list at the same time."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from gannetfront import host
@@ -7,8 +9,11 @@
 from gannetfront.edge.watch_schedule import Call
 from gannetfront.memory import MemoryBudget, Purpose
 from gannetfront.wire import BadAnswer, http
+from gannetfront.wire.platform import JSON_VALUE_BYTES
 from rig import Log
 
+TOLD = 6000.0  # ms after which a change counts as told, by the platform's page
+
 
 @pytest.fixture
 def client():
@@ -71,3 +76,21 @@
     monkeypatch.setattr(client, "apply", lambda *_: client.take_memory_of(call))
     client.on_result(d.CallResult(call, http.AnswerReader(10), None))
     assert not client.open and client.memory.used_for[Purpose.LISTING] == 0
+
+
+def test_a_complete_answer_does_not_wait_for_one_that_trickles(client):
+    """Against a list that never ends and, by a byte now and then, keeps the answers that have come whole from being applied."""
+    _, of_earlier = call_that_receives(client, share(client) // 2, 200, last=0)
+    complete, of_complete = call_that_receives(client, 10, 100)
+    values = 3 * share(client) // (4 * JSON_VALUE_BYTES)
+    reader = http.AnswerReader(1 << 20)
+    reader.feed(http.answer(200, [], b"," * values))
+    client.listing = SimpleNamespace(read=lambda body: (1, False, []))
+    applying = host.spawn(client.apply, complete, of_complete, reader)
+    deadline = host.now() + TOLD
+    while not applying.ready() and host.now() < deadline:
+        of_earlier.on_received()
+        host.sleep(1000)
+    is_applied = applying.ready()
+    host.stop(applying)
+    assert is_applied
--- a/tests/test_watch_schedule.py
+++ b/tests/test_watch_schedule.py
@@ -207,6 +207,18 @@
     assert order.judge(call, 8, True) is Freshness.OLDER_IN_PART
 
 
+def test_a_complete_list_older_in_part_does_not_let_an_overtaken_answer_in():
+    """Against a node that is drained on an unreadable entry and used again on an answer from before that."""
+    order = ListOrder()
+    order.on_applied(5)
+    whole, watch = made(order, is_whole=True), made(order)
+    order.on_applied(7)
+    order.on_applied_in_part(9)
+    assert order.judge(whole, 8, True) is Freshness.OLDER_IN_PART
+    order.on_applied(order.version)  # as Discovery.apply() does with the merged list
+    assert order.judge(watch, 8, False) is Freshness.OUTDATED
+
+
 # ---- which calls end ----
 
 
